--- /dev/null
+++ b/agent/admin.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lichenfall/lichenfall/web"
+)
+
+// State is what an agent says of itself to operators.
+type State struct {
+	Box         string    `json:"box"`
+	DataCentre  string    `json:"data_centre"`
+	Incarnation string    `json:"incarnation"`
+	Pool        string    `json:"pool"`
+	Slots       int       `json:"slots"`
+	Queued      int       `json:"queued"`
+	Running     int       `json:"running"`
+	Leaving     bool      `json:"leaving"`
+	Links       int       `json:"links"`        // connected entries
+	Claims      int       `json:"claims"`       // remembered
+	ClaimsSince time.Time `json:"claims_since"` // IDs made before are unknown
+}
+
+type adminServer struct {
+	srv *web.Server
+}
+
+func startAdmin(a *Agent) (*adminServer, error) {
+	e := web.NewEcho()
+	web.Operate(e, a.registry.Handler, a.log.Level)
+	e.GET("/v1/state", func(c echo.Context) error { return c.JSON(http.StatusOK, a.askState()) })
+	e.GET("/ready", func(c echo.Context) error {
+		if s := a.askState(); s.Leaving {
+			return c.String(http.StatusServiceUnavailable, "leaving\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	e.POST("/v1/leave", func(c echo.Context) error {
+		a.post(event{kind: evLeave})
+		return c.NoContent(http.StatusNoContent)
+	})
+	srv, err := web.Listen(a.cfg.Admin.Listen, e, web.DefaultLimits())
+	if err != nil {
+		return nil, err
+	}
+	return &adminServer{srv}, nil
+}
+
+func (s *adminServer) addr() string { return s.srv.Addr() }
+
+func (s *adminServer) close() { s.srv.Close() }
+
+func (a *Agent) askState() State {
+	reply := make(chan State, 1)
+	a.post(event{kind: evState, state: reply})
+	select {
+	case s := <-reply:
+		return s
+	case <-a.done:
+		return State{Leaving: true}
+	}
+}
+
+func (a *Agent) state(now time.Time) State {
+	load := a.queue.Load(0)
+	claims, _ := a.claims.Len()
+	return State{
+		Box:         a.cfg.Box.Name,
+		DataCentre:  a.cfg.Box.DataCentre,
+		Incarnation: a.incarnation,
+		Pool:        a.cfg.Backend.Pool,
+		Slots:       a.cfg.Backend.Slots,
+		Queued:      int(load.Queued),
+		Running:     int(load.Running),
+		Leaving:     load.Leaving,
+		Links:       len(a.links),
+		Claims:      claims,
+		ClaimsSince: a.claims.Since(),
+	}
+}
+
+// ClaimsSince returns the time from which IDs can be claimed at this agent.
+func (a *Agent) ClaimsSince() time.Time { return a.askState().ClaimsSince }
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,173 @@
+// Package agent is the daemon beside each backend server: it queues tasks for
+// it, runs them, and holds claims. One goroutine owns the queue and the claim
+// table; others read and write connections and wait for the backend server.
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/lichenfall/lichenfall/backend"
+	"github.com/lichenfall/lichenfall/claim"
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/logging"
+	"github.com/lichenfall/lichenfall/metrics"
+	"github.com/lichenfall/lichenfall/peer"
+	"github.com/lichenfall/lichenfall/queue"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+const (
+	eventBacklog = 4096
+	eventBatch   = 512 // events taken before results are sent
+	tickEvery    = 10 * time.Millisecond
+	flushTimeout = time.Second
+)
+
+// Agent is a running agent.
+type Agent struct {
+	cfg         *config.Agent
+	log         *logging.Log
+	incarnation string
+	assignment  uint64
+	registry    *metrics.Registry
+	count       *metrics.Agent
+	backend     *backend.Client
+	listener    *peer.Listener
+	admin       *adminServer
+	events      chan event
+	halt        context.Context // ends with Kill
+	kill        context.CancelFunc
+	done        chan struct{} // closed when the control loop has ended
+	stopped     chan struct{} // closed when the last task of a planned stop has ended
+
+	// Owned by the control loop.
+	queue  *queue.Queue
+	claims *claim.Table
+	links  map[queue.Link]*peer.Conn
+	byConn map[*peer.Conn]queue.Link
+	last   queue.Link
+	stop   bool
+}
+
+// Start starts an agent. It listens before it returns.
+func Start(cfg *config.Agent, log *logging.Log) (*Agent, error) {
+	registry := metrics.New("agent")
+	a := &Agent{
+		cfg:         cfg,
+		log:         log,
+		incarnation: uuid.NewString(),
+		assignment:  claim.Assignment(cfg.Claims.Holders),
+		registry:    registry,
+		count:       metrics.NewAgent(registry.Scope),
+		backend:     backend.New(backendSettings(cfg)),
+		events:      make(chan event, eventBacklog),
+		done:        make(chan struct{}),
+		stopped:     make(chan struct{}),
+		queue:       queue.New(queueLimits(cfg)),
+		claims:      claim.New(time.Now(), claimLimits(cfg)),
+		links:       make(map[queue.Link]*peer.Conn),
+		byConn:      make(map[*peer.Conn]queue.Link),
+	}
+	a.halt, a.kill = context.WithCancel(context.Background())
+	if err := a.listen(); err != nil {
+		a.kill()
+		registry.Close()
+		return nil, err
+	}
+	go a.control()
+	log.Info("agent started",
+		zap.String("peers", a.Addr()), zap.String("admin", a.AdminAddr()),
+		zap.String("incarnation", a.incarnation), zap.String("backend", cfg.Backend.URL))
+	return a, nil
+}
+
+func (a *Agent) listen() error {
+	opts := peer.Options{
+		MaxFrame:   a.cfg.Peers.MaxFrame,
+		ClockBound: a.cfg.Peers.ClockBound.D(),
+		Counter:    metrics.NewPeers(a.registry.Scope),
+	}
+	listener, err := peer.Listen(a.cfg.Peers.Listen, opts, a.hello, a)
+	if err != nil {
+		return err
+	}
+	a.listener = listener
+	a.admin, err = startAdmin(a)
+	if err != nil {
+		listener.Close()
+	}
+	return err
+}
+
+func backendSettings(cfg *config.Agent) backend.Settings {
+	return backend.Settings{
+		URL:         cfg.Backend.URL,
+		Connections: cfg.Backend.Connections,
+		MaxAnswer:   cfg.Backend.MaxAnswer,
+		DialTimeout: cfg.Backend.DialTimeout.D(),
+	}
+}
+
+func queueLimits(cfg *config.Agent) queue.Limits {
+	return queue.Limits{
+		Slots:    cfg.Backend.Slots,
+		Queue:    cfg.Backend.Queue,
+		Remember: cfg.Claims.Entries,
+		Window:   cfg.Claims.Window.D(),
+	}
+}
+
+func claimLimits(cfg *config.Agent) claim.Limits {
+	return claim.Limits{
+		Entries:    cfg.Claims.Entries,
+		Window:     cfg.Claims.Window.D(),
+		ClockBound: cfg.Peers.ClockBound.D(),
+	}
+}
+
+// Addr returns the address for peers.
+func (a *Agent) Addr() string { return a.listener.Addr() }
+
+// AdminAddr returns the address for operators.
+func (a *Agent) AdminAddr() string { return a.admin.addr() }
+
+// Stop makes a planned stop: new work is refused, queued tasks are handed back
+// as not run, started ones end. It returns when all have ended and their
+// results are sent, or when ctx ends.
+func (a *Agent) Stop(ctx context.Context) {
+	a.post(event{kind: evStop})
+	select {
+	case <-a.stopped:
+	case <-ctx.Done():
+		a.log.Warn("stopped with tasks in flight")
+	}
+	a.Kill()
+}
+
+// Kill ends the agent at once, as a crash would.
+func (a *Agent) Kill() {
+	a.kill()
+	<-a.done
+	a.listener.Close()
+	a.admin.close()
+	a.backend.Close()
+	a.registry.Close()
+}
+
+func (a *Agent) hello() *wire.Hello {
+	return &wire.Hello{
+		Version:     wire.Version,
+		Role:        wire.RoleAgent,
+		Box:         a.cfg.Box.Name,
+		DataCentre:  a.cfg.Box.DataCentre,
+		Incarnation: a.incarnation,
+		Pool:        a.cfg.Backend.Pool,
+		Slots:       uint32(a.cfg.Backend.Slots),
+		Assignment:  a.assignment,
+		UnixMicros:  time.Now().UnixMicro(),
+	}
+}
--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,280 @@
+package agent
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lichenfall/lichenfall/claim"
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/peer"
+	"github.com/lichenfall/lichenfall/queue"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+type eventKind uint8
+
+const (
+	evUp eventKind = iota
+	evMessage
+	evDown
+	evFinished
+	evStop
+	evState
+	evLeave
+)
+
+// event is what the other goroutines tell the control loop.
+type event struct {
+	kind    eventKind
+	conn    *peer.Conn
+	hello   *wire.Hello
+	message wire.Message
+	task    *queue.Task
+	outcome queue.Outcome
+	state   chan State
+}
+
+// Up is called when an entry has connected.
+func (a *Agent) Up(c *peer.Conn, h *wire.Hello) { a.post(event{kind: evUp, conn: c, hello: h}) }
+
+// Message is called for each message of an entry.
+func (a *Agent) Message(c *peer.Conn, m wire.Message) {
+	a.post(event{kind: evMessage, conn: c, message: m})
+}
+
+// Down is called when a connection is lost.
+func (a *Agent) Down(c *peer.Conn, err error) { a.post(event{kind: evDown, conn: c}) }
+
+func (a *Agent) post(e event) {
+	select {
+	case a.events <- e:
+	case <-a.done:
+	}
+}
+
+// control is the goroutine that owns the queue and the claims.
+func (a *Agent) control() {
+	defer close(a.done)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-a.halt.Done():
+			return
+		case <-tick.C:
+			a.queue.Expire(time.Now())
+			a.observe()
+		case e := <-a.events:
+			a.handle(time.Now(), e)
+			a.handleMore()
+		}
+		a.perform()
+	}
+}
+
+// handleMore takes what else has come, so that results go out together.
+func (a *Agent) handleMore() {
+	for range eventBatch {
+		select {
+		case e := <-a.events:
+			a.handle(time.Now(), e)
+		default:
+			return
+		}
+	}
+}
+
+func (a *Agent) handle(now time.Time, e event) {
+	switch e.kind {
+	case evUp:
+		a.linkUp(e)
+	case evMessage:
+		a.message(now, e.conn, e.message)
+	case evDown:
+		a.linkDown(e.conn)
+	case evFinished:
+		a.finished(now, e)
+	case evStop:
+		a.stop = true
+		a.queue.Leave()
+		a.announce()
+	case evLeave:
+		a.queue.Leave()
+		a.announce()
+	case evState:
+		e.state <- a.state(now)
+	}
+}
+
+func (a *Agent) linkUp(e event) {
+	a.last++
+	a.links[a.last] = e.conn
+	a.byConn[e.conn] = a.last
+	a.log.Info("entry connected", zap.String("box", e.hello.Box), zap.String("incarnation", e.hello.Incarnation))
+	if a.queue.Leaving() {
+		a.sendLoad(a.last)
+	}
+}
+
+func (a *Agent) linkDown(c *peer.Conn) {
+	link, ok := a.byConn[c]
+	if !ok {
+		return
+	}
+	delete(a.byConn, c)
+	delete(a.links, link)
+	a.queue.LinkDown(link)
+}
+
+func (a *Agent) message(now time.Time, c *peer.Conn, m wire.Message) {
+	link, ok := a.byConn[c]
+	if !ok {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Place:
+		a.queue.Place(now, link, m)
+	case *wire.Cancel:
+		a.queue.Cancel(now, link, m)
+	case *wire.Claim:
+		a.claim(now, c, m)
+	default:
+		a.log.Warn("message not for an agent", zap.Stringer("kind", m.WireKind()))
+	}
+}
+
+func (a *Agent) claim(now time.Time, c *peer.Conn, m *wire.Claim) {
+	r := a.judge(now, c, m)
+	a.count.Verdict(r.Verdict)
+	_ = c.Send(&wire.ClaimReply{
+		Seq:              m.Seq,
+		Verdict:          uint8(r.Verdict),
+		Owner:            r.Owner.Address,
+		OwnerIncarnation: r.Owner.Incarnation,
+		GrantSeq:         r.Seq,
+		Reason:           r.Reason,
+	})
+}
+
+func (a *Agent) judge(now time.Time, c *peer.Conn, m *wire.Claim) claim.Reply {
+	switch {
+	case m.Assignment != a.assignment:
+		return claim.Reply{Verdict: claim.NotHolder}
+	case m.Lookup:
+		return a.claims.Lookup(now, m.Submission)
+	}
+	owner := claim.Owner{Address: c.Peer().Address, Incarnation: c.Peer().Incarnation}
+	return a.claims.Claim(now, claim.Request{ID: m.Submission, Digest: string(m.Digest), Owner: owner, Seq: m.Seq})
+}
+
+func (a *Agent) finished(now time.Time, e event) {
+	a.count.Ran(now.Sub(e.task.StartedAt))
+	a.queue.Finished(now, e.task, e.outcome)
+}
+
+// perform does what the queue has decided.
+func (a *Agent) perform() {
+	out := a.queue.Take()
+	for _, t := range out.Start {
+		a.count.Started()
+		go a.run(t)
+	}
+	a.report(out.Reports)
+	if a.stop && a.queue.Idle() {
+		a.finishStop()
+	}
+}
+
+// run hands one task to the backend server. A planned stop does not cut it off.
+func (a *Agent) run(t *queue.Task) {
+	o := a.backend.Run(a.halt, t)
+	a.post(event{kind: evFinished, task: t, outcome: o})
+}
+
+func (a *Agent) finishStop() {
+	a.stop = false
+	conns := make([]*peer.Conn, 0, len(a.links))
+	for _, c := range a.links {
+		conns = append(conns, c)
+	}
+	go func() {
+		for _, c := range conns {
+			c.Flush(flushTimeout)
+		}
+		close(a.stopped)
+	}()
+}
+
+func (a *Agent) observe() {
+	load := a.queue.Load(0)
+	a.count.Load(int(load.Queued), int(load.Running))
+	a.count.Claims(a.claims.Len())
+}
+
+// The bounds of one Results message.
+const (
+	maxItems     = 1024
+	maxItemBytes = 1 << 20
+)
+
+// report sends results, those of one link together.
+func (a *Agent) report(reports []queue.Report) {
+	open := make(map[queue.Link]*batch)
+	for i := range reports {
+		r := &reports[i]
+		a.count.Result(failure.Kind(r.Result.Kind))
+		b := open[r.Link]
+		if b == nil {
+			b = &batch{load: a.queue.Load(r.Link)}
+			open[r.Link] = b
+		}
+		if b.full(&r.Result) {
+			a.send(r.Link, b.take())
+		}
+		b.add(r.Result)
+	}
+	for link, b := range open {
+		a.send(link, b.take())
+	}
+}
+
+// batch collects results into one message.
+type batch struct {
+	load  wire.Load
+	items []wire.Result
+	bytes int
+}
+
+func (b *batch) full(r *wire.Result) bool {
+	return len(b.items) >= maxItems || len(b.items) > 0 && b.bytes+len(r.Body) > maxItemBytes
+}
+
+func (b *batch) add(r wire.Result) {
+	b.items = append(b.items, r)
+	b.bytes += len(r.Body)
+}
+
+func (b *batch) take() *wire.Results {
+	m := &wire.Results{Load: b.load, Items: b.items}
+	b.items = nil
+	b.bytes = 0
+	return m
+}
+
+func (a *Agent) send(link queue.Link, m wire.Message) {
+	if c := a.links[link]; c != nil {
+		_ = c.Send(m)
+	}
+}
+
+// announce tells all entries that the backend server leaves.
+func (a *Agent) announce() {
+	for link := range a.links {
+		a.sendLoad(link)
+	}
+}
+
+func (a *Agent) sendLoad(link queue.Link) {
+	a.send(link, &wire.Results{Load: a.queue.Load(link)})
+}
--- /dev/null
+++ b/commands/config.go
@@ -0,0 +1,56 @@
+package commands
+
+import (
+	"fmt"
+
+	"github.com/lichenfall/lichenfall/config"
+)
+
+func init() {
+	register(command{
+		name:    "config",
+		summary: "Work with settings files",
+		usage:   "Commands on settings files.",
+		flags:   &configCommand{},
+	})
+	register(command{
+		parent:  "config",
+		name:    "check",
+		summary: "Check a settings file",
+		usage:   "Reads a settings file as the daemon would and prints every problem with its line, field and what is allowed. Exit code 2 when there is any.",
+		flags:   &configCheckCommand{},
+	})
+}
+
+// configCommand only holds the commands below it.
+type configCommand struct{}
+
+type configCheckCommand struct {
+	Role string `long:"role" required:"true" choice:"entry" choice:"agent" description:"whose settings they are"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (c *configCheckCommand) Execute([]string) error {
+	var failed error
+	for _, file := range c.Args.Files {
+		if err := c.check(file); err != nil {
+			fmt.Println(err)
+			failed = usageError(fmt.Errorf("%s: not usable", file))
+			continue
+		}
+		fmt.Printf("%s: good\n", file)
+	}
+	return failed
+}
+
+func (c *configCheckCommand) check(file string) error {
+	for _, r := range config.Roles() {
+		if r.Name == c.Role {
+			return config.Load(file, r.Defaults())
+		}
+	}
+	return fmt.Errorf("no role %q", c.Role)
+}
--- /dev/null
+++ b/commands/dev.go
@@ -0,0 +1,78 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lichenfall/lichenfall/fakebackend"
+	"github.com/lichenfall/lichenfall/local"
+	"github.com/lichenfall/lichenfall/logging"
+)
+
+func init() {
+	register(command{
+		name:    "dev",
+		summary: "Run everything in one process on loopback, with stand-ins",
+		usage: "Runs entries, agents, stand-in backend servers and a stand-in platform in this process, " +
+			"and prints how to submit a first job.",
+		flags: &devCommand{},
+	})
+}
+
+type devCommand struct {
+	Listen  string `long:"listen" default:"127.0.0.1:7070" value-name:"ADDR" description:"of the first entry"`
+	Entries int    `long:"entries" default:"2" description:"number of entries"`
+	Agents  int    `long:"agents" default:"11" description:"number of agents, each with a backend server of 8 slots"`
+	Level   string `long:"log-level" default:"warn" description:"debug, info, warn or error"`
+}
+
+const devTaskTime = 50 * time.Millisecond
+
+// Execute runs the command.
+func (c *devCommand) Execute([]string) error {
+	if c.Entries < 1 || c.Agents < 1 {
+		return usageError(fmt.Errorf("--entries and --agents must be at least 1"))
+	}
+	log, err := logging.New(c.Level, "text")
+	if err != nil {
+		return usageError(err)
+	}
+	run, cancel := untilSignal()
+	defer cancel()
+	cluster, err := local.Start(run, local.Options{
+		Entries: c.Entries,
+		Agents:  c.Agents,
+		HTTP:    c.Listen,
+		Backend: fakebackend.Settings{TaskTime: devTaskTime},
+		Log:     log,
+	})
+	if err != nil {
+		return err
+	}
+	c.greet(cluster)
+	<-run.Done()
+	stop, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	cluster.Stop(stop)
+	return nil
+}
+
+func (c *devCommand) greet(cluster *local.Cluster) {
+	urls := cluster.URLs()
+	fmt.Printf("lichenfall is up: %d entries, %d agents, a stand-in platform at %s\n", c.Entries, c.Agents, cluster.Platform.URL())
+	for _, u := range urls {
+		fmt.Println("  entry", u)
+	}
+	fmt.Printf(`
+A first job, from another terminal:
+
+  go run . submit --entry %[1]s --tasks 20 --payload '{"sleep_ms":50}'
+
+or over HTTP:
+
+  curl -s %[1]s/v1/submissions -d '{"id":"hello@'$(date +%%s%%3N)'","team":"%[2]s","pool":"%[3]s","tasks":[{"payload":{"echo":"bula"}}]}'
+
+Stop with ctrl-C.
+`, urls[0], local.Team, local.Pool)
+}
--- /dev/null
+++ b/commands/entry.go
@@ -0,0 +1,48 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/entry"
+	"github.com/lichenfall/lichenfall/logging"
+)
+
+func init() {
+	register(command{
+		name:    "entry",
+		summary: "Run an entry",
+		usage: "Runs the daemon that callers talk to. The first SIGTERM or SIGINT makes a planned stop: " +
+			"new submissions are refused, those in flight are answered. A second one ends it at once.",
+		flags: &entryCommand{},
+	})
+}
+
+type entryCommand struct {
+	Config string `long:"config" short:"c" required:"true" value-name:"FILE" description:"settings of the entry"`
+}
+
+// Execute runs the command.
+func (c *entryCommand) Execute([]string) error {
+	cfg := config.DefaultEntry()
+	if err := config.Load(c.Config, cfg); err != nil {
+		return usageError(err)
+	}
+	log, err := logging.New(cfg.Log.Level, cfg.Log.Format)
+	if err != nil {
+		return usageError(err)
+	}
+	e, err := entry.Start(cfg, log)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("entry ready to be asked: http %s peers %s\n", e.Addr(), e.PeerAddr())
+	run, cancel := untilSignal()
+	defer cancel()
+	<-run.Done()
+	stop, cancel := context.WithTimeout(context.Background(), cfg.Jobs.StopTimeout.D())
+	defer cancel()
+	e.Stop(stop)
+	return nil
+}
--- /dev/null
+++ b/commands/load.go
@@ -0,0 +1,165 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/lichenfall/lichenfall/fakebackend"
+	"github.com/lichenfall/lichenfall/load"
+	"github.com/lichenfall/lichenfall/local"
+	"github.com/lichenfall/lichenfall/logging"
+	"github.com/lichenfall/lichenfall/metrics"
+)
+
+func init() {
+	register(command{
+		name:    "load",
+		summary: "Submit jobs at a given rate and report",
+		usage: "An open-loop load generator. Jobs arrive at their times whether or not earlier ones are answered; every " +
+			"answer is checked. Without --entry it starts a local system of its own and also reports messages for each task. " +
+			"Distributions: const:A, uniform:A-B, exp:MEAN, lognormal:MEDIAN-SIGMA, pareto:LEAST-SHAPE, mix:A-SHARE-B.",
+		flags: &loadCommand{},
+	})
+}
+
+type loadCommand struct {
+	Entry      []string      `long:"entry" value-name:"URL" description:"entry to submit to; may be given several times"`
+	Scrape     []string      `long:"scrape" value-name:"URL" description:"process whose message counters to read; may be given several times"`
+	Team       string        `long:"team" default:"tabua" description:"team"`
+	Pool       string        `long:"pool" default:"default" description:"pool of backend servers"`
+	Rate       float64       `long:"rate" default:"20" description:"jobs a second"`
+	Even       bool          `long:"even" description:"equal gaps between jobs in place of Poisson arrivals"`
+	Burst      float64       `long:"burst" description:"factor of the rate in bursts"`
+	BurstEvery time.Duration `long:"burst-every" default:"10s" description:"from one burst to the next"`
+	BurstFor   time.Duration `long:"burst-for" default:"2s" description:"length of a burst"`
+	FanOut     string        `long:"fan-out" default:"uniform:1-39" value-name:"DIST" description:"tasks of a job"`
+	TaskTime   string        `long:"task-time" default:"const:50" value-name:"DIST" description:"milliseconds of a task"`
+	Duration   time.Duration `long:"duration" short:"d" default:"10s" description:"how long jobs arrive"`
+	Timeout    time.Duration `long:"timeout" default:"10s" description:"until a job's deadline"`
+	Resend     float64       `long:"resend" description:"share of jobs sent a second time through another entry"`
+	Seed       uint64        `long:"seed" default:"1" description:"of the random choices"`
+	JSON       bool          `long:"json" description:"report as JSON"`
+	Quiet      bool          `long:"quiet" short:"q" description:"no progress on standard error"`
+	Agents     int           `long:"agents" default:"11" description:"of the local system"`
+	Entries    int           `long:"entries" default:"2" description:"of the local system"`
+}
+
+const maxFanOut = 150
+
+// Execute runs the command.
+func (c *loadCommand) Execute([]string) error {
+	plan, err := c.plan()
+	if err != nil {
+		return usageError(err)
+	}
+	run, cancel := untilSignal()
+	defer cancel()
+	if len(c.Entry) == 0 {
+		cluster, err := c.startLocal(run)
+		if err != nil {
+			return err
+		}
+		defer cluster.Close()
+		plan.Entries = cluster.URLs()
+		c.Scrape = cluster.ScrapeURLs()
+	}
+	before := c.messages(run)
+	summary := load.Run(run, plan, c.progress()).Summary()
+	return c.print(summary, c.messages(run), before)
+}
+
+func (c *loadCommand) plan() (load.Plan, error) {
+	fanOut, err := load.ParseDistribution(c.FanOut)
+	if err != nil {
+		return load.Plan{}, fmt.Errorf("--fan-out: %w", err)
+	}
+	taskTime, err := load.ParseDistribution(c.TaskTime)
+	if err != nil {
+		return load.Plan{}, fmt.Errorf("--task-time: %w", err)
+	}
+	if c.Rate <= 0 {
+		return load.Plan{}, fmt.Errorf("--rate: must be above 0")
+	}
+	return load.Plan{
+		Entries:   c.Entry,
+		Team:      c.Team,
+		Pool:      c.Pool,
+		Arrivals:  load.Arrivals{Rate: c.Rate, Even: c.Even, Factor: c.Burst, Every: c.BurstEvery, Length: c.BurstFor},
+		FanOut:    fanOut,
+		TaskTime:  taskTime,
+		Duration:  c.Duration,
+		Timeout:   c.Timeout,
+		Resend:    c.Resend,
+		Seed:      c.Seed,
+		MaxFanOut: maxFanOut,
+	}, nil
+}
+
+func (c *loadCommand) startLocal(ctx context.Context) (*local.Cluster, error) {
+	return local.Start(ctx, local.Options{
+		Entries: c.Entries,
+		Agents:  c.Agents,
+		Backend: fakebackend.Settings{},
+		Log:     logging.Discard(),
+		Seed:    c.Seed,
+	})
+}
+
+func (c *loadCommand) progress() func(*load.Report) {
+	if c.Quiet {
+		return nil
+	}
+	return func(r *load.Report) {
+		s := r.Summary()
+		fmt.Fprintf(os.Stderr, "\r%d jobs answered, %d complete, p99 %.1f ms   ", s.Jobs, s.Complete, s.LatencyMS.P99)
+	}
+}
+
+// counterLag is how old a scraped counter may be.
+const counterLag = 1500 * time.Millisecond
+
+// messages sums up the messages that all scraped processes have sent.
+func (c *loadCommand) messages(ctx context.Context) map[string]float64 {
+	sum := make(map[string]float64)
+	if len(c.Scrape) == 0 {
+		return sum
+	}
+	time.Sleep(counterLag)
+	for _, u := range c.Scrape {
+		sent, err := metrics.MessagesSent(ctx, u)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "lichenfall: %s: %v\n", u, err)
+			continue
+		}
+		for k, n := range sent {
+			sum[k] += n
+		}
+	}
+	return sum
+}
+
+func (c *loadCommand) print(s load.Summary, after, before map[string]float64) error {
+	if !c.Quiet {
+		fmt.Fprintln(os.Stderr)
+	}
+	s.Messages = make(map[string]float64)
+	for k, n := range after {
+		s.Messages[k] = (n - before[k]) / float64(max(1, s.Tasks))
+	}
+	if c.JSON {
+		return s.WriteJSON(os.Stdout)
+	}
+	s.WriteText(os.Stdout)
+	kinds := make([]string, 0, len(s.Messages))
+	for k := range s.Messages {
+		kinds = append(kinds, k)
+	}
+	sort.Strings(kinds)
+	for _, k := range kinds {
+		fmt.Printf("%-22s %10.4f\n", "messages/task "+k, s.Messages[k])
+	}
+	return nil
+}
--- /dev/null
+++ b/config/backend.go
@@ -0,0 +1,39 @@
+package config
+
+import "time"
+
+// Backend is the agent's section on the backend server beside it.
+type Backend struct {
+	URL         string   `json:"url"`
+	Pool        string   `json:"pool"`
+	Slots       int      `json:"slots"`       // tasks at once
+	Connections int      `json:"connections"` // HTTP connections at most
+	Queue       int      `json:"queue"`       // tasks waiting for a slot
+	MaxAnswer   int64    `json:"max_answer"`  // bytes of one answer
+	DialTimeout Duration `json:"dial_timeout"`
+	StopTimeout Duration `json:"stop_timeout"` // for tasks in flight at a planned stop
+}
+
+// DefaultBackend returns the defaults of Backend.
+func DefaultBackend() Backend {
+	return Backend{
+		Pool:        "default",
+		Slots:       8,
+		Connections: 64,
+		Queue:       256,
+		MaxAnswer:   256 << 10,
+		DialTimeout: Duration(time.Second),
+		StopTimeout: Duration(70 * time.Second),
+	}
+}
+
+func (b *Backend) check(c *checker) {
+	c.link("backend.url", b.URL)
+	c.name("backend.pool", b.Pool)
+	between(c, "backend.slots", b.Slots, 1, 1024)
+	between(c, "backend.connections", b.Connections, b.Slots, 4096)
+	between(c, "backend.queue", b.Queue, 0, 100000)
+	between(c, "backend.max_answer", b.MaxAnswer, 16, 4<<20)
+	c.span("backend.dial_timeout", b.DialTimeout, Duration(10*time.Millisecond), Duration(10*time.Second))
+	c.span("backend.stop_timeout", b.StopTimeout, Duration(time.Second), Duration(time.Hour))
+}
--- /dev/null
+++ b/config/duration.go
@@ -0,0 +1,31 @@
+package config
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Duration is a time.Duration written as a string such as "250ms" or "10m".
+type Duration time.Duration
+
+// D returns d as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// MarshalJSON writes the duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.D().String()) }
+
+// UnmarshalJSON reads a string that time.ParseDuration takes.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return errs.New("not a string")
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return errs.New("not a duration")
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/config/roles.go
@@ -0,0 +1,85 @@
+package config
+
+// Entry is the file of an entry.
+type Entry struct {
+	Box       Box       `json:"box"`
+	HTTP      HTTP      `json:"http"`
+	Peers     Peers     `json:"peers"`
+	Claims    Claims    `json:"claims"`
+	Jobs      Jobs      `json:"jobs"`
+	Placement Placement `json:"placement"`
+	Platform  Platform  `json:"platform"`
+	Log       Log       `json:"log"`
+}
+
+// DefaultEntry returns the defaults of Entry. It lacks claims.holders,
+// jobs.teams and jobs.pools, which have none.
+func DefaultEntry() *Entry {
+	return &Entry{
+		Box:       DefaultBox(),
+		HTTP:      DefaultHTTP(),
+		Peers:     DefaultPeers(),
+		Claims:    DefaultClaims(),
+		Jobs:      DefaultJobs(),
+		Placement: DefaultPlacement(),
+		Platform:  DefaultPlatform(),
+		Log:       DefaultLog(),
+	}
+}
+
+func (e *Entry) check(c *checker) {
+	e.Box.check(c)
+	e.HTTP.check(c)
+	e.Peers.check(c)
+	e.Claims.check(c)
+	e.Jobs.check(c)
+	e.Placement.check(c)
+	e.Platform.check(c)
+	e.Log.check(c)
+}
+
+// Agent is the file of an agent.
+type Agent struct {
+	Box     Box     `json:"box"`
+	Peers   Peers   `json:"peers"`
+	Admin   Admin   `json:"admin"`
+	Claims  Claims  `json:"claims"`
+	Backend Backend `json:"backend"`
+	Log     Log     `json:"log"`
+}
+
+// DefaultAgent returns the defaults of Agent. It lacks claims.holders and
+// backend.url, which have none.
+func DefaultAgent() *Agent {
+	return &Agent{
+		Box:     DefaultBox(),
+		Peers:   DefaultPeers(),
+		Admin:   DefaultAdmin(),
+		Claims:  DefaultClaims(),
+		Backend: DefaultBackend(),
+		Log:     DefaultLog(),
+	}
+}
+
+func (a *Agent) check(c *checker) {
+	a.Box.check(c)
+	a.Peers.check(c)
+	a.Admin.check(c)
+	a.Claims.check(c)
+	a.Backend.check(c)
+	a.Log.check(c)
+}
+
+// Roles returns the defaults of each role by its name.
+func Roles() []Role {
+	return []Role{
+		{"entry", func() Settings { return DefaultEntry() }},
+		{"agent", func() Settings { return DefaultAgent() }},
+	}
+}
+
+// Role is one kind of settings file.
+type Role struct {
+	Name     string
+	Defaults func() Settings
+}
--- /dev/null
+++ b/dispatch/lookup.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/claim"
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/job"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// Lookup answers the caller with the state of a submission, whichever entry
+// runs it, and starts nothing.
+func (c *Core) Lookup(now time.Time, caller uint64, id string) {
+	w := Waiter{Caller: caller}
+	if r := c.records[id]; r != nil && r.phase != fetching && r.phase != abandoned {
+		c.answer(w, stateOf(r))
+		return
+	}
+	p := &pending{peer: claim.Holder(id, c.set.Holders), until: now.Add(c.set.ClaimWait), id: id, lookup: &w}
+	if !c.reachable(p.peer) {
+		c.lookupFailed(p, failure.ClaimUnavailable, "the holder of the ID cannot be reached")
+		return
+	}
+	seq := c.nextSeq()
+	c.claims[seq] = p
+	c.send(p.peer, &wire.Claim{Seq: seq, Submission: id, Lookup: true, Assignment: c.digest})
+}
+
+func stateOf(r *record) *job.Answer {
+	if r.phase == answered {
+		return r.answer
+	}
+	return &job.Answer{Submission: r.sub.ID, State: job.Running}
+}
+
+// found goes on with a lookup once the holder has answered.
+func (c *Core) found(now time.Time, p *pending, v claim.Verdict, owner claim.Owner) {
+	if p.id == "" {
+		return // a probe
+	}
+	switch {
+	case v == claim.NotHolder:
+		c.lookupFailed(p, failure.ClaimUnavailable, "the holder goes by another list of holders")
+	case v != claim.Held || owner.Address == c.set.Self.Address:
+		c.lookupFailed(p, failure.SubmissionNotFound, "nothing is remembered under this ID")
+	default:
+		c.startFetch(&pending{id: p.id, peer: owner.Address, owner: owner.Incarnation, until: now.Add(c.set.FetchWait), lookup: p.lookup})
+	}
+}
+
+func (c *Core) lookupFailed(p *pending, k failure.Kind, reason string) {
+	if p.id == "" {
+		return // a probe
+	}
+	e := failure.New(k, reason)
+	e.RetryAfter = c.pauseFor(k)
+	c.answer(*p.lookup, job.Refusal(p.id, e, failure.RanUnknown))
+}
--- /dev/null
+++ b/dispatch/submit.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/job"
+)
+
+// Submit takes a submission from a caller, who gets an answer in time.
+func (c *Core) Submit(now time.Time, caller uint64, s *job.Submission) {
+	w := Waiter{Caller: caller}
+	r := c.records[s.ID]
+	if r != nil && r.sub.Digest != s.Digest {
+		c.answer(w, job.Refusal(s.ID, failure.New(failure.SubmissionMismatch, ""), failure.NotRun))
+		return
+	}
+	switch {
+	case r == nil && c.stop:
+		c.refuseEarly(w, s, failure.Stopping, "this entry is stopping")
+	case r == nil && len(c.claims) >= c.set.MaxClaims:
+		c.refuseEarly(w, s, failure.Overloaded, "too many claims wait for their holders")
+	case r == nil:
+		r = &record{sub: s, waiters: []Waiter{w}}
+		c.records[s.ID] = r
+		c.claim(now, r)
+	case r.phase == answered:
+		c.count.Resent("answered")
+		c.answer(w, resent(r.answer))
+	case r.phase == abandoned:
+		c.unkeep(r)
+		r.sub = s
+		r.waiters = []Waiter{w}
+		c.claim(now, r)
+	default:
+		c.count.Resent("running")
+		r.waiters = append(r.waiters, w)
+	}
+}
+
+// refuseEarly refuses a submission before it is known whether another copy of
+// it runs elsewhere, so that nothing may be said about that. The caller may
+// send the same ID again.
+func (c *Core) refuseEarly(w Waiter, s *job.Submission, k failure.Kind, reason string) {
+	e := failure.New(k, reason)
+	e.RetryAfter = c.comeBack()
+	a := job.Refusal(s.ID, e, failure.RanUnknown)
+	a.Error.Retry = failure.RetrySameID.String()
+	c.answer(w, a)
+}
+
+// admit decides about a submission that was granted to this entry: whatever is
+// refused here never ran and never will.
+func (c *Core) admit(now time.Time, r *record) {
+	if k, reason := c.reasonToRefuse(now, r.sub); k != failure.None {
+		c.settle(now, r, refusal(r, k, reason, failure.NotRun, c.pauseFor(k)))
+		return
+	}
+	c.lastJob++
+	r.phase = running
+	r.job = job.New(c.lastJob, r.sub)
+	c.jobs[r.job.Number] = r
+	c.running += len(r.job.Tasks)
+	c.budget.Earn(len(r.job.Tasks))
+	c.placeAll(now, r)
+}
+
+func (c *Core) reasonToRefuse(now time.Time, s *job.Submission) (failure.Kind, string) {
+	switch {
+	case !c.teams[s.Team]:
+		return failure.UnknownTeam, "no team is named " + s.Team
+	case !c.pools[s.Pool]:
+		return failure.UnknownPool, "no pool is named " + s.Pool
+	case !now.Before(s.Deadline):
+		return failure.DeadlinePast, "the deadline has passed"
+	case c.running+len(s.Payloads) > c.set.MaxTasks:
+		return failure.Overloaded, "this entry holds as many tasks as it may"
+	}
+	return failure.None, ""
+}
+
+// pauseFor returns when to come back after a refusal of the kind, zero where
+// waiting does not help.
+func (c *Core) pauseFor(k failure.Kind) time.Duration {
+	switch k {
+	case failure.Overloaded, failure.NoAgent, failure.QueueFull, failure.Stopping, failure.BackendUnreachable:
+		return c.comeBack()
+	}
+	return 0
+}
+
+// The bounds of the pause that a refused caller is told.
+const (
+	minPause = 50 * time.Millisecond
+	maxPause = 5 * time.Second
+)
+
+// comeBack estimates when the tasks held now will be done, with jitter so that
+// the refused do not all return at once.
+func (c *Core) comeBack() time.Duration {
+	d := c.rate.timeFor(c.running)
+	d = min(max(d, minPause), maxPause)
+	return d/2 + time.Duration(c.rng.Int64N(int64(d)))
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lichenfall/lichenfall/job"
+	"github.com/lichenfall/lichenfall/peer"
+	"github.com/lichenfall/lichenfall/platform"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+type eventKind uint8
+
+const (
+	evUp eventKind = iota
+	evMessage
+	evDown
+	evSubmit
+	evLookup
+	evGone
+	evBoxes
+	evStop
+	evState
+)
+
+// event is what the other goroutines tell the control loop.
+type event struct {
+	kind    eventKind
+	peer    string
+	conn    *peer.Conn
+	hello   *wire.Hello
+	message wire.Message
+	err     error
+	caller  uint64
+	answer  chan *job.Answer
+	sub     *job.Submission
+	id      string
+	boxes   platform.BoxList
+	state   chan State
+}
+
+func (e *Entry) post(ev event) {
+	select {
+	case e.events <- ev:
+	case <-e.done:
+	}
+}
+
+// control is the goroutine that owns the core.
+func (e *Entry) control() {
+	defer close(e.done)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-e.halt.Done():
+			return
+		case <-tick.C:
+			e.tick(time.Now())
+		case ev := <-e.events:
+			e.handle(time.Now(), ev)
+			e.handleMore()
+		}
+		e.perform()
+	}
+}
+
+// handleMore takes what else has come, so that effects go out together.
+func (e *Entry) handleMore() {
+	for range eventBatch {
+		select {
+		case ev := <-e.events:
+			e.handle(time.Now(), ev)
+		default:
+			return
+		}
+	}
+}
+
+func (e *Entry) tick(now time.Time) {
+	e.core.Tick(now)
+	for _, addr := range e.view.Expire(now).Drop {
+		e.drop(addr)
+	}
+}
+
+func (e *Entry) handle(now time.Time, ev event) {
+	switch ev.kind {
+	case evUp:
+		e.linkUp(now, ev)
+	case evMessage:
+		e.core.Message(now, ev.peer, ev.message)
+	case evDown:
+		e.linkDown(now, ev)
+	case evSubmit:
+		e.callers[ev.caller] = ev.answer
+		e.core.Submit(now, ev.caller, ev.sub)
+	case evLookup:
+		e.callers[ev.caller] = ev.answer
+		e.core.Lookup(now, ev.caller, ev.id)
+	case evGone:
+		delete(e.callers, ev.caller)
+	case evBoxes:
+		e.takeBoxes(now, ev.boxes)
+	case evStop:
+		e.core.Stop()
+	case evState:
+		ev.state <- e.state()
+	}
+}
+
+func (e *Entry) linkUp(now time.Time, ev event) {
+	l := e.links[ev.peer]
+	if l == nil {
+		l = &link{stop: func() {}}
+		e.links[ev.peer] = l
+	}
+	l.conn = ev.conn
+	e.view.Connected(now, ev.peer, true)
+	e.core.PeerUp(now, ev.peer, ev.hello)
+	e.core.ListLeaving(ev.peer, e.view.LeavingListed(ev.peer))
+	e.log.Info("peer connected", zap.String("peer", ev.peer), zap.String("box", ev.hello.Box))
+}
+
+func (e *Entry) linkDown(now time.Time, ev event) {
+	l := e.links[ev.peer]
+	if l == nil {
+		return
+	}
+	l.conn = nil
+	if ev.inbound() {
+		delete(e.links, ev.peer)
+	}
+	e.view.Connected(now, ev.peer, false)
+	e.core.PeerDown(now, ev.peer)
+	e.log.Info("peer lost", zap.String("peer", ev.peer), zap.Error(ev.err))
+}
+
+// perform does what the core has decided.
+func (e *Entry) perform() {
+	out := e.core.Take()
+	for _, addr := range out.Dials {
+		e.dial(addr)
+	}
+	for _, s := range out.Sends {
+		if l := e.links[s.Peer]; l != nil && l.conn != nil {
+			_ = l.conn.Send(s.Message) // when it cannot be sent, the connection is down and Down follows
+		}
+	}
+	for _, d := range out.Deliveries {
+		if answer, ok := e.callers[d.Caller]; ok {
+			delete(e.callers, d.Caller)
+			answer <- d.Answer
+		}
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,212 @@
+// Package entry is the daemon that callers talk to. It takes submissions over
+// HTTP and drives the dispatch core with what its connections bring. One
+// goroutine owns the core; others read and write connections and callers.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/lichenfall/lichenfall/claim"
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/dispatch"
+	"github.com/lichenfall/lichenfall/job"
+	"github.com/lichenfall/lichenfall/logging"
+	"github.com/lichenfall/lichenfall/membership"
+	"github.com/lichenfall/lichenfall/metrics"
+	"github.com/lichenfall/lichenfall/peer"
+	"github.com/lichenfall/lichenfall/placement"
+	"github.com/lichenfall/lichenfall/platform"
+	"github.com/lichenfall/lichenfall/retry"
+	"github.com/lichenfall/lichenfall/web"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+const (
+	eventBacklog = 8192
+	eventBatch   = 512 // events taken before messages are sent
+	tickEvery    = 5 * time.Millisecond
+	absentFor    = 30 * time.Second // before an unlisted, unconnected agent is given up
+)
+
+// Entry is a running entry.
+type Entry struct {
+	cfg         *config.Entry
+	log         *logging.Log
+	incarnation string
+	assignment  uint64
+	registry    *metrics.Registry
+	peerOpts    peer.Options
+	listener    *peer.Listener
+	http        *web.Server
+	platform    *platform.Client // nil when the settings name none
+	events      chan event
+	halt        context.Context // ends with Kill
+	kill        context.CancelFunc
+	done        chan struct{}
+	stopping    atomic.Bool
+	lastCaller  atomic.Uint64
+	lastInbound atomic.Uint64
+
+	// Owned by the control loop.
+	core    *dispatch.Core
+	view    *membership.View
+	links   map[string]*link
+	callers map[uint64]chan *job.Answer
+}
+
+// Start starts an entry. It listens before it returns.
+func Start(cfg *config.Entry, log *logging.Log) (*Entry, error) {
+	registry := metrics.New("entry")
+	e := &Entry{
+		cfg:         cfg,
+		log:         log,
+		incarnation: uuid.NewString(),
+		assignment:  claim.Assignment(cfg.Claims.Holders),
+		registry:    registry,
+		events:      make(chan event, eventBacklog),
+		done:        make(chan struct{}),
+		view:        membership.New(cfg.Claims.Holders, absentFor),
+		links:       make(map[string]*link),
+		callers:     make(map[uint64]chan *job.Answer),
+	}
+	e.halt, e.kill = context.WithCancel(context.Background())
+	if err := e.listen(); err != nil {
+		e.kill()
+		registry.Close()
+		return nil, err
+	}
+	e.core = dispatch.New(e.coreSettings(), metrics.NewDispatch(registry.Scope), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	for _, agent := range e.view.Known() {
+		e.dial(agent)
+	}
+	if cfg.Platform.URL != "" {
+		e.platform = platform.New(cfg.Platform.URL, cfg.Platform.Limit.D())
+		go e.pollBoxes()
+	}
+	go e.control()
+	log.Info("entry started",
+		zap.String("http", e.Addr()), zap.String("peers", e.PeerAddr()), zap.String("incarnation", e.incarnation))
+	return e, nil
+}
+
+func (e *Entry) listen() error {
+	e.peerOpts = peer.Options{
+		MaxFrame:   e.cfg.Peers.MaxFrame,
+		ClockBound: e.cfg.Peers.ClockBound.D(),
+		Counter:    metrics.NewPeers(e.registry.Scope),
+	}
+	listener, err := peer.Listen(e.cfg.Peers.Listen, e.peerOpts, e.hello, inbound{e})
+	if err != nil {
+		return err
+	}
+	e.listener = listener
+	e.http, err = web.Listen(e.cfg.HTTP.Listen, e.routes(), e.httpLimits())
+	if err != nil {
+		listener.Close()
+	}
+	return err
+}
+
+func (e *Entry) httpLimits() web.Limits {
+	h := e.cfg.HTTP
+	return web.Limits{
+		Header:        h.MaxHeader,
+		HeaderTimeout: h.HeaderTimeout.D(),
+		BodyTimeout:   h.BodyTimeout.D(),
+		IdleTimeout:   h.IdleTimeout.D(),
+		Conns:         h.MaxConns,
+	}
+}
+
+func (e *Entry) coreSettings() dispatch.Settings {
+	c, j := e.cfg.Claims, e.cfg.Jobs
+	return dispatch.Settings{
+		Self:        claim.Owner{Address: e.advertised(), Incarnation: e.incarnation},
+		Holders:     c.Holders,
+		Teams:       j.Teams,
+		Pools:       j.Pools,
+		MaxTasks:    j.MaxRunning,
+		MaxClaims:   c.Pending,
+		ClaimWait:   c.Wait.D(),
+		FetchWait:   c.Wait.D(),
+		Grace:       j.Grace.D(),
+		Attempts:    j.Attempts,
+		RetryRatio:  j.RetryRatio,
+		RetryBurst:  j.RetryBurst,
+		Backoff:     retry.Backoff{Base: j.RetryPause.D(), Max: j.RetryPauseMax.D()},
+		KeepAnswers: c.Answers,
+		KeepBytes:   c.Bytes,
+		KeepFor:     c.KeepFor.D(),
+		MaxFetched:  e.cfg.Peers.MaxFrame / 2,
+		Policy:      placement.Policy{Choices: e.cfg.Placement.Choices},
+	}
+}
+
+// Addr returns the address for callers.
+func (e *Entry) Addr() string { return e.http.Addr() }
+
+// PeerAddr returns the address for peers.
+func (e *Entry) PeerAddr() string { return e.listener.Addr() }
+
+func (e *Entry) advertised() string {
+	if e.cfg.Peers.Advertise != "" {
+		return e.cfg.Peers.Advertise
+	}
+	return e.listener.Addr()
+}
+
+// Stop makes a planned stop: new submissions are refused, those in flight get
+// their answers. It returns when all are answered or ctx ends.
+func (e *Entry) Stop(ctx context.Context) {
+	e.stopping.Store(true)
+	e.post(event{kind: evStop})
+	for ctx.Err() == nil && !e.idle() {
+		time.Sleep(tickEvery)
+	}
+	if err := e.http.Drain(ctx); err != nil {
+		e.log.Warn("stopped with requests in flight", zap.Error(err))
+	}
+	e.Kill()
+}
+
+func (e *Entry) idle() bool {
+	reply := make(chan State, 1)
+	e.post(event{kind: evState, state: reply})
+	select {
+	case s := <-reply:
+		return s.Idle
+	case <-e.done:
+		return true
+	}
+}
+
+// Kill ends the entry at once, as a crash would.
+func (e *Entry) Kill() {
+	e.kill()
+	<-e.done
+	e.http.Close()
+	e.listener.Close()
+	if e.platform != nil {
+		e.platform.Close()
+	}
+	e.registry.Close()
+}
+
+func (e *Entry) hello() *wire.Hello {
+	return &wire.Hello{
+		Version:     wire.Version,
+		Role:        wire.RoleEntry,
+		Box:         e.cfg.Box.Name,
+		DataCentre:  e.cfg.Box.DataCentre,
+		Incarnation: e.incarnation,
+		Address:     e.advertised(),
+		Assignment:  e.assignment,
+		UnixMicros:  time.Now().UnixMicro(),
+	}
+}
--- /dev/null
+++ b/entry/state.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/lichenfall/lichenfall/placement"
+)
+
+// State is what an entry says of itself to operators.
+type State struct {
+	Box         string       `json:"box"`
+	DataCentre  string       `json:"data_centre"`
+	Incarnation string       `json:"incarnation"`
+	Ready       bool         `json:"ready"` // takes work and can place it in every pool
+	Stopping    bool         `json:"stopping"`
+	Idle        bool         `json:"idle"` // nobody waits for an answer
+	Jobs        int          `json:"jobs"`
+	Tasks       int          `json:"tasks"`
+	BoxList     uint64       `json:"box_list"` // version last taken
+	Agents      []AgentState `json:"agents"`
+}
+
+// AgentState is what an entry knows of an agent.
+type AgentState struct {
+	Address     string `json:"address"`
+	Pool        string `json:"pool"`
+	DataCentre  string `json:"data_centre"`
+	Connected   bool   `json:"connected"`
+	Leaving     bool   `json:"leaving"`
+	Slots       int    `json:"slots"`
+	Outstanding int    `json:"outstanding"` // tasks of this entry that it holds
+}
+
+func (e *Entry) askState() State {
+	reply := make(chan State, 1)
+	e.post(event{kind: evState, state: reply})
+	select {
+	case s := <-reply:
+		return s
+	case <-e.done:
+		return State{Stopping: true}
+	}
+}
+
+func (e *Entry) state() State {
+	jobs, tasks := e.core.Running()
+	s := State{
+		Box:         e.cfg.Box.Name,
+		DataCentre:  e.cfg.Box.DataCentre,
+		Incarnation: e.incarnation,
+		Stopping:    e.stopping.Load(),
+		Idle:        e.core.Idle() && len(e.callers) == 0,
+		Jobs:        jobs,
+		Tasks:       tasks,
+		BoxList:     e.view.Version(),
+	}
+	for _, addr := range e.view.Known() {
+		s.Agents = append(s.Agents, agentState(addr, e.core.Agents().Agent(addr)))
+	}
+	sort.Slice(s.Agents, func(i, k int) bool { return s.Agents[i].Address < s.Agents[k].Address })
+	s.Ready = !s.Stopping && e.canPlace()
+	return s
+}
+
+func agentState(addr string, a *placement.Agent) AgentState {
+	if a == nil {
+		return AgentState{Address: addr}
+	}
+	return AgentState{
+		Address:     addr,
+		Pool:        a.Pool,
+		DataCentre:  a.DataCentre,
+		Connected:   true,
+		Leaving:     a.Leaving || a.ListLeaving,
+		Slots:       a.Slots,
+		Outstanding: a.Outstanding,
+	}
+}
+
+// canPlace returns whether every pool has an agent that takes work.
+func (e *Entry) canPlace() bool {
+	for _, pool := range e.cfg.Jobs.Pools {
+		usable := false
+		for _, a := range e.core.Agents().Pool(pool) {
+			usable = usable || !a.Leaving && !a.ListLeaving
+		}
+		if !usable {
+			return false
+		}
+	}
+	return true
+}
+
+func (ev event) inbound() bool { return strings.HasPrefix(ev.peer, inboundPrefix) }
+
+// Connected returns the number of agents connected now.
+func (e *Entry) Connected() int {
+	n := 0
+	for _, a := range e.askState().Agents {
+		if a.Connected {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/local/cluster.go
@@ -0,0 +1,241 @@
+// Package local runs a whole lichenfall in one process on loopback, with
+// stand-ins for backend servers and platform. The dev command, the load tool
+// and the tests use it.
+package local
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lichenfall/lichenfall/agent"
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/entry"
+	"github.com/lichenfall/lichenfall/fakebackend"
+	"github.com/lichenfall/lichenfall/fakeplatform"
+	"github.com/lichenfall/lichenfall/logging"
+	"github.com/lichenfall/lichenfall/platform"
+	"github.com/lichenfall/lichenfall/ports"
+)
+
+// Options says what to run.
+type Options struct {
+	Entries     int
+	Agents      int
+	DataCentres []string // agents and entries are spread over them in turn
+	HTTP        string   // address of the first entry; empty means any port
+	Backend     fakebackend.Settings
+	Log         *logging.Log
+	Seed        uint64
+	// Entry and Agent change the settings of each before it starts.
+	Entry func(*config.Entry)
+	Agent func(*config.Agent)
+}
+
+// Names used by a local system.
+const (
+	Team = "tabua"
+	Pool = "default"
+)
+
+const racks = 3 // agents to a rack
+
+// Cluster is a running system.
+type Cluster struct {
+	Platform *fakeplatform.Platform
+	Backends []*fakebackend.Backend
+	Agents   []*agent.Agent
+	Entries  []*entry.Entry
+
+	opts    Options
+	holders []string
+	boxes   []platform.Box
+}
+
+// Start starts everything and waits until the entries are ready and IDs made
+// from now on can be claimed.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	if len(o.DataCentres) == 0 {
+		o.DataCentres = []string{"local"}
+	}
+	c := &Cluster{opts: o}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+	if c.Platform, err = fakeplatform.New(fakeplatform.Settings{Listen: ports.Any}, c.opts.Seed); err != nil {
+		return err
+	}
+	if c.holders, err = ports.Free(c.opts.Agents); err != nil {
+		return err
+	}
+	for i := range c.opts.Agents {
+		if err := c.addAgent(i); err != nil {
+			return err
+		}
+	}
+	c.Platform.SetBoxes(c.boxes)
+	for i := range c.opts.Entries {
+		if err := c.addEntry(i); err != nil {
+			return err
+		}
+	}
+	return c.await(ctx)
+}
+
+func (c *Cluster) addAgent(i int) error {
+	s := c.opts.Backend
+	s.Listen = ports.Any
+	b, err := fakebackend.New(s, c.opts.Seed+uint64(i)+1)
+	if err != nil {
+		return err
+	}
+	c.Backends = append(c.Backends, b)
+	a, err := agent.Start(c.agentConfig(i), c.opts.Log)
+	if err != nil {
+		return err
+	}
+	c.Agents = append(c.Agents, a)
+	c.boxes = append(c.boxes, platform.Box{
+		Name:       fmt.Sprintf("agent-%d", i),
+		Address:    c.holders[i],
+		DataCentre: c.dataCentre(i),
+		Rack:       fmt.Sprintf("rack-%d", i/racks),
+		State:      platform.Live,
+	})
+	return nil
+}
+
+func (c *Cluster) agentConfig(i int) *config.Agent {
+	cfg := config.DefaultAgent()
+	cfg.Box = config.Box{Name: fmt.Sprintf("agent-%d", i), DataCentre: c.dataCentre(i)}
+	cfg.Peers.Listen = c.holders[i]
+	cfg.Claims.Holders = c.holders
+	cfg.Backend.URL = c.Backends[i].URL()
+	cfg.Backend.Pool = Pool
+	if c.opts.Agent != nil {
+		c.opts.Agent(cfg)
+	}
+	return cfg
+}
+
+func (c *Cluster) addEntry(i int) error {
+	cfg := config.DefaultEntry()
+	cfg.Box = config.Box{Name: fmt.Sprintf("entry-%d", i), DataCentre: c.dataCentre(i)}
+	cfg.HTTP.Listen = ports.Any
+	if i == 0 && c.opts.HTTP != "" {
+		cfg.HTTP.Listen = c.opts.HTTP
+	}
+	cfg.Claims.Holders = c.holders
+	cfg.Jobs.Teams = []string{Team}
+	cfg.Jobs.Pools = []string{Pool}
+	cfg.Platform.URL = c.Platform.URL()
+	if c.opts.Entry != nil {
+		c.opts.Entry(cfg)
+	}
+	e, err := entry.Start(cfg, c.opts.Log)
+	if err != nil {
+		return err
+	}
+	c.Entries = append(c.Entries, e)
+	return nil
+}
+
+func (c *Cluster) dataCentre(i int) string {
+	return c.opts.DataCentres[i%len(c.opts.DataCentres)]
+}
+
+// RestartAgent ends an agent as a crash would and starts another at the same
+// address, which knows nothing. Its backend server goes on.
+func (c *Cluster) RestartAgent(i int) error {
+	c.Agents[i].Kill()
+	a, err := agent.Start(c.agentConfig(i), c.opts.Log)
+	if err != nil {
+		return err
+	}
+	c.Agents[i] = a
+	return nil
+}
+
+// URLs returns where callers reach the entries.
+func (c *Cluster) URLs() []string {
+	out := make([]string, len(c.Entries))
+	for i, e := range c.Entries {
+		out[i] = "http://" + e.Addr()
+	}
+	return out
+}
+
+const readyPoll = 10 * time.Millisecond
+
+// await waits until every entry is connected to every agent and the holders'
+// memory reaches back to now.
+func (c *Cluster) await(ctx context.Context) error {
+	for _, e := range c.Entries {
+		for e.Connected() < len(c.Agents) {
+			if err := pause(ctx, readyPoll); err != nil {
+				return err
+			}
+		}
+	}
+	for _, a := range c.Agents {
+		if err := pause(ctx, time.Until(a.ClaimsSince())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// Stop makes a planned stop of everything, entries first.
+func (c *Cluster) Stop(ctx context.Context) {
+	for _, e := range c.Entries {
+		e.Stop(ctx)
+	}
+	for _, a := range c.Agents {
+		a.Stop(ctx)
+	}
+	c.closeFakes()
+}
+
+// Close ends everything at once.
+func (c *Cluster) Close() {
+	for _, e := range c.Entries {
+		e.Kill()
+	}
+	for _, a := range c.Agents {
+		a.Kill()
+	}
+	c.closeFakes()
+}
+
+func (c *Cluster) closeFakes() {
+	for _, b := range c.Backends {
+		b.Close()
+	}
+	if c.Platform != nil {
+		c.Platform.Close()
+	}
+}
+
+// ScrapeURLs returns where the metrics of all entries and agents are read.
+func (c *Cluster) ScrapeURLs() []string {
+	out := c.URLs()
+	for _, a := range c.Agents {
+		out = append(out, "http://"+a.AdminAddr())
+	}
+	return out
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,38 @@
+// Package logging makes the structured logger of a process.
+package logging
+
+import (
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+)
+
+// Log is a logger whose level can be changed while the program runs.
+type Log struct {
+	*zap.Logger
+	Level zap.AtomicLevel // also an http.Handler: GET and PUT {"level":"debug"}
+}
+
+// New returns a logger to standard error. level is debug, info, warn or error;
+// format is json or text.
+func New(level, format string) (*Log, error) {
+	l, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	cfg := zap.NewProductionConfig()
+	if format == "text" {
+		cfg = zap.NewDevelopmentConfig()
+		cfg.DisableStacktrace = true
+	}
+	cfg.Level = l
+	logger, err := cfg.Build()
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	return &Log{Logger: logger, Level: l}, nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Log {
+	return &Log{Logger: zap.NewNop(), Level: zap.NewAtomicLevel()}
+}
--- /dev/null
+++ b/metrics/agent.go
@@ -0,0 +1,64 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lichenfall/lichenfall/claim"
+	"github.com/lichenfall/lichenfall/failure"
+)
+
+// Agent counts what an agent does.
+type Agent struct {
+	results  map[string]tally.Counter
+	verdicts map[string]tally.Counter
+	started  tally.Counter
+	run      tally.Timer
+	queued   tally.Gauge
+	running  tally.Gauge
+	claims   tally.Gauge
+	forgot   tally.Gauge
+}
+
+// NewAgent returns the counters, all at zero.
+func NewAgent(s tally.Scope) *Agent {
+	var verdicts []string
+	for _, v := range claim.Verdicts() {
+		verdicts = append(verdicts, v.String())
+	}
+	return &Agent{
+		results:  labelled(s, "tasks", "kind", Kinds()),
+		verdicts: labelled(s, "claims_answered", "verdict", verdicts),
+		started:  s.Counter("tasks_started"),
+		run:      s.Timer("task_run"),
+		queued:   s.Gauge("tasks_queued"),
+		running:  s.Gauge("tasks_running"),
+		claims:   s.Gauge("claims_remembered"),
+		forgot:   s.Gauge("claims_forgotten_early"),
+	}
+}
+
+// Result counts the end of a task; None is a task that was answered.
+func (a *Agent) Result(k failure.Kind) { inc(a.results, k.String(), 1) }
+
+// Verdict counts the answer to a claim.
+func (a *Agent) Verdict(v claim.Verdict) { inc(a.verdicts, v.String(), 1) }
+
+// Started counts a task handed to the backend server.
+func (a *Agent) Started() { a.started.Inc(1) }
+
+// Ran records how long the backend server held a task.
+func (a *Agent) Ran(d time.Duration) { a.run.Record(d) }
+
+// Load records the present load.
+func (a *Agent) Load(queued, running int) {
+	a.queued.Update(float64(queued))
+	a.running.Update(float64(running))
+}
+
+// Claims records the size of the claim table.
+func (a *Agent) Claims(remembered int, evicted uint64) {
+	a.claims.Update(float64(remembered))
+	a.forgot.Update(float64(evicted))
+}
--- /dev/null
+++ b/metrics/dispatch.go
@@ -0,0 +1,73 @@
+package metrics
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lichenfall/lichenfall/claim"
+	"github.com/lichenfall/lichenfall/dispatch"
+	"github.com/lichenfall/lichenfall/failure"
+)
+
+// Dispatch counts what an entry decides. It is a dispatch.Counter.
+type Dispatch struct {
+	answers  map[string]tally.Counter
+	refused  map[string]tally.Counter
+	retried  map[string]tally.Counter
+	claims   map[string]tally.Counter
+	dropped  map[string]tally.Counter
+	violated map[string]tally.Counter
+	resent   map[string]tally.Counter
+	placed   tally.Counter
+}
+
+// NewDispatch returns the counters, all at zero.
+func NewDispatch(s tally.Scope) *Dispatch {
+	kinds := Kinds()
+	var verdicts []string
+	for _, v := range claim.Verdicts() {
+		verdicts = append(verdicts, v.String())
+	}
+	return &Dispatch{
+		answers:  labelled(s, "answers", "kind", kinds),
+		refused:  labelled(s, "tasks_failed", "kind", kinds),
+		retried:  labelled(s, "retries", "kind", kinds),
+		claims:   labelled(s, "claims", "verdict", verdicts),
+		dropped:  labelled(s, "messages_dropped", "reason", append(dispatch.DropReasons(), other)),
+		violated: labelled(s, "promises_violated", "promise", append(dispatch.Promises(), other)),
+		resent:   labelled(s, "resends", "found", []string{"running", "answered"}),
+		placed:   s.Counter("tasks_placed"),
+	}
+}
+
+// Kinds returns the names of all error kinds, as used in labels.
+func Kinds() []string {
+	var out []string
+	for _, r := range failure.Table() {
+		out = append(out, r.Name)
+	}
+	return out
+}
+
+// Answered counts a final answer.
+func (d *Dispatch) Answered(k failure.Kind) { inc(d.answers, k.String(), 1) }
+
+// Refused counts a task that an agent refused or that failed.
+func (d *Dispatch) Refused(k failure.Kind) { inc(d.refused, k.String(), 1) }
+
+// Retried counts a task placed again.
+func (d *Dispatch) Retried(k failure.Kind) { inc(d.retried, k.String(), 1) }
+
+// Claimed counts a holder's answer.
+func (d *Dispatch) Claimed(v claim.Verdict) { inc(d.claims, v.String(), 1) }
+
+// Dropped counts a message that came too late or twice.
+func (d *Dispatch) Dropped(reason string) { inc(d.dropped, reason, 1) }
+
+// Violated counts a broken promise.
+func (d *Dispatch) Violated(promise string) { inc(d.violated, promise, 1) }
+
+// Resent counts a copy of a known submission.
+func (d *Dispatch) Resent(found string) { inc(d.resent, found, 1) }
+
+// Placed counts tasks sent to an agent.
+func (d *Dispatch) Placed(n int) { d.placed.Inc(int64(n)) }
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,279 @@
+// Package peer carries wire messages between lichenfall's processes over TCP:
+// connections with a bounded backlog, a listener, and links that reconnect.
+package peer
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// ErrClosed is returned by Send after the connection is down.
+var ErrClosed = errs.New("connection closed")
+
+// ErrBacklog closes a connection whose peer does not keep up.
+var ErrBacklog = errs.New("too many messages wait to be sent")
+
+// Direction says which way a message went.
+type Direction uint8
+
+// The two directions.
+const (
+	In Direction = iota
+	Out
+)
+
+// Counter counts what passes over connections.
+type Counter interface {
+	// Message is called once for each frame, with its size in bytes.
+	Message(d Direction, k wire.Kind, bytes int)
+	// Fault is called when a connection is closed for a reason of the peer's:
+	// the reasons of wire.FaultReason and those of this package.
+	Fault(reason string)
+}
+
+// Handler receives what happens on connections. For one connection the calls
+// come in the order Up, Message (any number), Down, one at a time. It must not
+// block for long.
+type Handler interface {
+	Up(c *Conn, h *wire.Hello)
+	Message(c *Conn, m wire.Message)
+	Down(c *Conn, err error)
+}
+
+// Options are the settings of connections.
+type Options struct {
+	MaxFrame     int           // bytes; zero means wire.DefaultMaxFrame
+	Backlog      int           // messages that may wait to be sent; zero means DefaultBacklog
+	HelloTimeout time.Duration // zero means DefaultHelloTimeout
+	WriteTimeout time.Duration // zero means DefaultWriteTimeout
+	ClockBound   time.Duration // greatest difference to a peer's clock; zero means DefaultClockBound
+	Counter      Counter
+}
+
+// The defaults of Options.
+const (
+	DefaultBacklog      = 65536
+	DefaultHelloTimeout = 2 * time.Second
+	DefaultWriteTimeout = 5 * time.Second
+	DefaultClockBound   = 500 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.MaxFrame == 0 {
+		o.MaxFrame = wire.DefaultMaxFrame
+	}
+	if o.Backlog == 0 {
+		o.Backlog = DefaultBacklog
+	}
+	if o.HelloTimeout == 0 {
+		o.HelloTimeout = DefaultHelloTimeout
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	if o.ClockBound == 0 {
+		o.ClockBound = DefaultClockBound
+	}
+	return o
+}
+
+// keepAlive finds a peer whose box is gone without a word; it costs no message
+// of ours.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
+
+const bufferBytes = 64 << 10
+
+// Conn is one connection to a peer. Send may be called from any goroutine.
+type Conn struct {
+	// Name is for the handler's own use; it may be set in Up.
+	Name string
+
+	opts Options
+	nc   net.Conn
+	r    *bufio.Reader
+	peer *wire.Hello
+
+	mu     sync.Mutex
+	queue  []wire.Message
+	closed bool
+	cause  error
+
+	wake chan struct{}
+	done chan struct{}
+}
+
+func newConn(nc net.Conn, opts Options) *Conn {
+	if tc, ok := nc.(*net.TCPConn); ok {
+		_ = tc.SetKeepAliveConfig(keepAlive)
+	}
+	return &Conn{
+		opts: opts,
+		nc:   nc,
+		r:    bufio.NewReaderSize(nc, bufferBytes),
+		wake: make(chan struct{}, 1),
+		done: make(chan struct{}),
+	}
+}
+
+// Peer returns the peer's hello. It is set from Up on.
+func (c *Conn) Peer() *wire.Hello { return c.peer }
+
+// Send queues m; it never blocks. The message must not be changed afterwards.
+// An error means that m was not and will not be sent.
+func (c *Conn) Send(m wire.Message) error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return ErrClosed
+	}
+	if len(c.queue) >= c.opts.Backlog {
+		c.mu.Unlock()
+		c.opts.Counter.Fault(faultBacklog)
+		c.Close(ErrBacklog)
+		return ErrBacklog
+	}
+	c.queue = append(c.queue, m)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Close closes the connection; the first cause given is what Down receives.
+func (c *Conn) Close(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.cause = cause
+	close(c.done)
+	_ = c.nc.Close()
+}
+
+// Flush waits until all that was sent before has been written, at most for d.
+func (c *Conn) Flush(d time.Duration) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) && c.pending() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *Conn) pending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) > 0 && !c.closed
+}
+
+func (c *Conn) serve(hello *wire.Hello, h Handler) error {
+	theirs, err := c.handshake(hello)
+	if err != nil {
+		c.Close(err)
+		return err
+	}
+	c.peer = theirs
+	h.Up(c, theirs)
+	go c.write()
+	err = c.read(h)
+	c.Close(err)
+	h.Down(c, c.cause)
+	return c.cause
+}
+
+func (c *Conn) read(h Handler) error {
+	for {
+		m, n, err := wire.Read(c.r, c.opts.MaxFrame)
+		if err != nil {
+			c.countFault(err)
+			return err
+		}
+		if m.WireKind() == wire.KindHello {
+			c.opts.Counter.Fault(faultSecondHello)
+			return errs.New("a second hello")
+		}
+		c.opts.Counter.Message(In, m.WireKind(), n)
+		h.Message(c, m)
+	}
+}
+
+func (c *Conn) countFault(err error) {
+	if reason, ok := wire.FaultReason(err); ok {
+		c.opts.Counter.Fault(reason)
+	}
+}
+
+func (c *Conn) write() {
+	var batch []wire.Message
+	var buf []byte
+	for {
+		select {
+		case <-c.wake:
+		case <-c.done:
+			return
+		}
+		for {
+			batch = c.swap(batch)
+			if len(batch) == 0 {
+				break
+			}
+			var err error
+			if buf, err = c.writeBatch(buf[:0], batch); err != nil {
+				c.Close(err)
+				return
+			}
+		}
+	}
+}
+
+// swap gives the writer all that waits and leaves it an empty queue. What is
+// being written stays counted as pending until the next swap.
+func (c *Conn) swap(old []wire.Message) []wire.Message {
+	clear(old)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch := c.queue
+	c.queue = old[:0]
+	return batch
+}
+
+func (c *Conn) writeBatch(buf []byte, batch []wire.Message) ([]byte, error) {
+	for _, m := range batch {
+		before := len(buf)
+		var err error
+		if buf, err = wire.Append(buf, m); err != nil {
+			return buf, err
+		}
+		if len(buf)-before > c.opts.MaxFrame {
+			c.opts.Counter.Fault(faultOwnTooLong)
+			return buf, wire.ErrTooLong
+		}
+		c.opts.Counter.Message(Out, m.WireKind(), len(buf)-before)
+		if len(buf) >= bufferBytes {
+			if err := c.writeAll(buf); err != nil {
+				return buf, err
+			}
+			buf = buf[:0]
+		}
+	}
+	return buf, c.writeAll(buf)
+}
+
+func (c *Conn) writeAll(buf []byte) error {
+	if len(buf) == 0 {
+		return nil
+	}
+	if err := c.nc.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)); err != nil {
+		return err
+	}
+	_, err := c.nc.Write(buf)
+	return err
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/lichenfall/lichenfall/retry"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// reconnect spaces the attempts to reach a peer: soon at first, and with
+// jitter, so that a returning rack is not met by everyone at once.
+var reconnect = retry.Backoff{Base: 50 * time.Millisecond, Max: 2 * time.Second}
+
+const dialTimeout = time.Second
+
+// Keep holds a connection to addr until ctx ends, dialling again whenever it
+// breaks. hello is called for each connection.
+func Keep(ctx context.Context, addr string, opts Options, hello func() *wire.Hello, h Handler) {
+	opts = opts.withDefaults()
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		if dialOnce(ctx, addr, opts, hello(), h) {
+			attempt = 0
+		}
+		pause(ctx, reconnect.Delay(attempt, rand.Float64()))
+	}
+}
+
+// dialOnce returns whether the peer was reached.
+func dialOnce(ctx context.Context, addr string, opts Options, hello *wire.Hello, h Handler) bool {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false
+	}
+	c := newConn(nc, opts)
+	stop := context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })
+	defer stop()
+	start := time.Now()
+	err = c.serve(hello, h)
+	return err == nil || time.Since(start) > reconnect.Max
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/peer/listener.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"net"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// Listener accepts connections from peers.
+type Listener struct {
+	ln      net.Listener
+	opts    Options
+	hello   func() *wire.Hello
+	handler Handler
+
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// Listen listens on addr (IP number and port) and serves connections until
+// Close. hello is called for each connection.
+func Listen(addr string, opts Options, hello func() *wire.Hello, h Handler) (*Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	l := &Listener{ln: ln, opts: opts.withDefaults(), hello: hello, handler: h, conns: make(map[*Conn]struct{})}
+	l.wg.Add(1)
+	go l.accept()
+	return l, nil
+}
+
+// Addr returns the address listened on.
+func (l *Listener) Addr() string { return l.ln.Addr().String() }
+
+// Close stops listening, closes all connections and waits for their handlers.
+func (l *Listener) Close() {
+	_ = l.ln.Close()
+	l.mu.Lock()
+	l.closed = true
+	for c := range l.conns {
+		c.Close(ErrClosed)
+	}
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+func (l *Listener) accept() {
+	defer l.wg.Done()
+	for {
+		nc, err := l.ln.Accept()
+		if err != nil {
+			return
+		}
+		c := newConn(nc, l.opts)
+		if !l.add(c) {
+			c.Close(ErrClosed)
+			return
+		}
+		go func() {
+			defer l.remove(c)
+			_ = c.serve(l.hello(), l.handler)
+		}()
+	}
+}
+
+func (l *Listener) add(c *Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.conns[c] = struct{}{}
+	l.wg.Add(1)
+	return true
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	l.wg.Done()
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,158 @@
+// Package placement is the core that decides which agent gets a task. It knows
+// the agents' load from the answers that flow anyway, and corrects it by what
+// the entry itself has placed since. It does no I/O.
+package placement
+
+import (
+	"math/rand/v2"
+
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// Agent is what an entry knows of one agent.
+type Agent struct {
+	ID          string // address
+	Pool        string
+	DataCentre  string
+	Slots       int
+	Leaving     bool // says so itself; for good
+	ListLeaving bool // the platform's box list says so
+	Outstanding int  // tasks placed by this entry and not answered
+
+	others int // tasks of other entries, as last reported
+}
+
+// load is the number of tasks ahead of a new one, per slot.
+func (a *Agent) load() float64 {
+	return float64(a.Outstanding+a.others) / float64(max(1, a.Slots))
+}
+
+// Policy is the setting of the choice.
+type Policy struct {
+	// Choices is the number of agents drawn at random, of which the least
+	// loaded gets the task: 1 is random, 2 the power of two choices. Zero
+	// looks at all agents of the pool.
+	Choices int
+}
+
+// Set holds the agents that can be reached. It is not safe for use by several
+// goroutines.
+type Set struct {
+	policy Policy
+	rng    *rand.Rand
+	byID   map[string]*Agent
+	pools  map[string][]*Agent
+}
+
+// New returns an empty set. rng makes the random choices.
+func New(p Policy, rng *rand.Rand) *Set {
+	return &Set{policy: p, rng: rng, byID: make(map[string]*Agent), pools: make(map[string][]*Agent)}
+}
+
+// Add takes in a, replacing any agent of the same ID.
+func (s *Set) Add(a *Agent) {
+	s.Remove(a.ID)
+	s.byID[a.ID] = a
+	s.pools[a.Pool] = append(s.pools[a.Pool], a)
+}
+
+// Remove drops the agent.
+func (s *Set) Remove(id string) {
+	a := s.byID[id]
+	if a == nil {
+		return
+	}
+	delete(s.byID, id)
+	pool := s.pools[a.Pool]
+	for i := range pool {
+		if pool[i] == a {
+			s.pools[a.Pool] = append(pool[:i], pool[i+1:]...)
+			break
+		}
+	}
+	if len(s.pools[a.Pool]) == 0 {
+		delete(s.pools, a.Pool)
+	}
+}
+
+// Agent returns the agent of that ID, or nil.
+func (s *Set) Agent(id string) *Agent { return s.byID[id] }
+
+// Pool returns the agents of a pool, which the caller must not change.
+func (s *Set) Pool(pool string) []*Agent { return s.pools[pool] }
+
+// Report takes an agent's own word on its load.
+func (s *Set) Report(id string, l wire.Load) {
+	a := s.byID[id]
+	if a == nil {
+		return
+	}
+	a.others = max(0, int(l.Queued)+int(l.Running)-int(l.Mine))
+	a.Leaving = a.Leaving || l.Leaving
+}
+
+// Pick chooses an agent of the pool that is not leaving and not in avoid, and
+// counts the task as placed there. It returns nil when there is none.
+func (s *Set) Pick(pool string, avoid []string) *Agent {
+	agents := s.pools[pool]
+	best := s.draw(agents, avoid)
+	if best == nil {
+		best = s.scan(agents, avoid)
+	}
+	if best != nil {
+		best.Outstanding++
+	}
+	return best
+}
+
+// Return takes back n tasks counted as placed at the agent.
+func (s *Set) Return(id string, n int) {
+	if a := s.byID[id]; a != nil {
+		a.Outstanding = max(0, a.Outstanding-n)
+	}
+}
+
+// draw returns the least loaded of a few agents drawn at random; nil when it
+// is told to look at all, or drew none that will do.
+func (s *Set) draw(agents []*Agent, avoid []string) *Agent {
+	if s.policy.Choices == 0 || len(agents) == 0 {
+		return nil
+	}
+	var best *Agent
+	for range s.policy.Choices {
+		a := agents[s.rng.IntN(len(agents))]
+		if usable(a, avoid) && (best == nil || a.load() < best.load()) {
+			best = a
+		}
+	}
+	return best
+}
+
+// scan returns the least loaded of all agents, beginning at a random one so
+// that ties are spread.
+func (s *Set) scan(agents []*Agent, avoid []string) *Agent {
+	if len(agents) == 0 {
+		return nil
+	}
+	var best *Agent
+	first := s.rng.IntN(len(agents))
+	for i := range agents {
+		a := agents[(first+i)%len(agents)]
+		if usable(a, avoid) && (best == nil || a.load() < best.load()) {
+			best = a
+		}
+	}
+	return best
+}
+
+func usable(a *Agent, avoid []string) bool {
+	if a.Leaving || a.ListLeaving {
+		return false
+	}
+	for _, id := range avoid {
+		if id == a.ID {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,291 @@
+// Package queue is the core of an agent: the bounded queue and the slots of
+// one backend server, and the state of each task from queued to its end. It
+// does no I/O; the present time is an argument. Only this state machine says
+// that a task which reached the agent did not run.
+package queue
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// Link numbers a connection to an entry, unique in the agent's lifetime.
+type Link uint64
+
+// Key identifies a task by where its result goes.
+type Key struct {
+	Link  Link
+	Job   uint64
+	Index uint32
+}
+
+// State is where a task stands.
+type State uint8
+
+// The states of a task. Finished and Refused are final; a refused task never
+// ran, whether it was refused on arrival, cancelled or expired in the queue.
+const (
+	Queued State = iota
+	Started
+	Finished
+	Refused
+)
+
+// Task is a task that the agent holds.
+type Task struct {
+	Key
+	Submission    string
+	Team          string
+	Payload       []byte
+	Deadline      time.Time
+	NotRepeatable bool
+	StartedAt     time.Time
+
+	state State
+}
+
+// State returns where the task stands.
+func (t *Task) State() State { return t.state }
+
+func (t *Task) id() taskID { return taskID{t.Submission, t.Index} }
+
+// Limits bounds what the agent holds.
+type Limits struct {
+	Slots    int           // tasks running at once
+	Queue    int           // tasks waiting
+	Remember int           // past tasks remembered, so that none starts twice
+	Window   time.Duration // how long a past task is remembered
+}
+
+// Report is a result for one link.
+type Report struct {
+	Link   Link
+	Result wire.Result
+}
+
+// Effects is what the caller has to do after events: start tasks on the
+// backend server and send results.
+type Effects struct {
+	Start   []*Task
+	Reports []Report
+}
+
+// Outcome is what became of a started task.
+type Outcome struct {
+	Kind   failure.Kind
+	Ran    failure.Ran
+	Reason string
+	Body   []byte
+}
+
+// Queue holds the tasks of one agent. It is not safe for use by several
+// goroutines.
+type Queue struct {
+	limits  Limits
+	waiting []*Task
+	tasks   map[Key]*Task
+	mine    map[Link]uint32
+	running int
+	leaving bool
+	seen    *memory
+	out     Effects
+}
+
+// New returns an empty queue.
+func New(l Limits) *Queue {
+	return &Queue{
+		limits: l,
+		tasks:  make(map[Key]*Task),
+		mine:   make(map[Link]uint32),
+		seen:   newMemory(l.Remember, l.Window),
+	}
+}
+
+// Place takes the tasks of p, each of which is queued or refused.
+func (q *Queue) Place(now time.Time, from Link, p *wire.Place) {
+	deadline := now.Add(time.Duration(p.BudgetMicros) * time.Microsecond)
+	for i := range p.Tasks {
+		t := &Task{
+			Key:           Key{Link: from, Job: p.Job, Index: p.Tasks[i].Index},
+			Submission:    p.Submission,
+			Team:          p.Team,
+			Payload:       p.Tasks[i].Payload,
+			Deadline:      deadline,
+			NotRepeatable: p.NotRepeatable,
+		}
+		q.admit(now, t)
+	}
+	q.fill(now)
+}
+
+func (q *Queue) admit(now time.Time, t *Task) {
+	switch {
+	case q.leaving:
+		q.refuse(t, failure.Stopping, "the backend server is leaving")
+	case q.tasks[t.Key] != nil:
+		q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown, Reason: "placed twice on one link"}, 0)
+	case q.seen.has(t.id()):
+		q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown, Reason: "seen before"}, 0)
+	case len(q.waiting)+q.running >= q.limits.Queue+q.limits.Slots:
+		q.refuse(t, failure.QueueFull, "")
+	default:
+		q.seen.add(now, t.id())
+		q.tasks[t.Key] = t
+		q.mine[t.Link]++
+		q.waiting = append(q.waiting, t)
+	}
+}
+
+// Cancel gives up those of the tasks that have not started.
+func (q *Queue) Cancel(now time.Time, from Link, c *wire.Cancel) {
+	for _, index := range c.Indexes {
+		t := q.tasks[Key{Link: from, Job: c.Job, Index: index}]
+		if t != nil && t.state == Queued {
+			q.drop(t, failure.Cancelled, "")
+		}
+	}
+	q.compact()
+}
+
+// LinkDown forgets a link. Its queued tasks are dropped, since nobody is left
+// to receive their results; its started ones run to their end.
+func (q *Queue) LinkDown(link Link) {
+	for _, t := range q.waiting {
+		if t.Link == link {
+			q.drop(t, failure.Cancelled, "link down")
+		}
+	}
+	q.compact()
+	delete(q.mine, link)
+}
+
+// Finished records the end of a started task.
+func (q *Queue) Finished(now time.Time, t *Task, o Outcome) {
+	if t.state != Started {
+		panic("queue: a task that was not running has finished")
+	}
+	t.state = Finished
+	q.running--
+	q.release(t)
+	if o.Ran == failure.NotRun {
+		q.seen.forget(t.id())
+	}
+	q.reply(t, o, now.Sub(t.StartedAt))
+	q.fill(now)
+}
+
+// Expire refuses queued tasks whose deadline has passed.
+func (q *Queue) Expire(now time.Time) {
+	for _, t := range q.waiting {
+		if !now.Before(t.Deadline) {
+			q.drop(t, failure.DeadlineInQueue, "")
+		}
+	}
+	q.compact()
+	q.seen.expire(now)
+}
+
+// Leave makes the queue refuse all new work and hand back what is queued. What
+// has started runs to its end.
+func (q *Queue) Leave() {
+	q.leaving = true
+	for _, t := range q.waiting {
+		q.drop(t, failure.Stopping, "the backend server is leaving")
+	}
+	q.compact()
+}
+
+// Idle returns whether nothing is queued or running.
+func (q *Queue) Idle() bool { return len(q.waiting) == 0 && q.running == 0 }
+
+// Leaving returns whether new work is refused.
+func (q *Queue) Leaving() bool { return q.leaving }
+
+// Load returns the load to report on a link.
+func (q *Queue) Load(link Link) wire.Load {
+	return wire.Load{
+		Queued:  uint32(len(q.waiting)),
+		Running: uint32(q.running),
+		Mine:    q.mine[link],
+		Slots:   uint32(q.limits.Slots),
+		Leaving: q.leaving,
+	}
+}
+
+// Remembered returns how many past and present tasks are remembered, and how
+// many were forgotten before their time for want of room.
+func (q *Queue) Remembered() (tasks int, evicted uint64) {
+	return q.seen.order.Len(), q.seen.evicted
+}
+
+// Take returns what has to be done since the last call.
+func (q *Queue) Take() Effects {
+	out := q.out
+	q.out = Effects{}
+	return out
+}
+
+// fill starts queued tasks on free slots, in order.
+func (q *Queue) fill(now time.Time) {
+	for q.running < q.limits.Slots && len(q.waiting) > 0 {
+		t := q.waiting[0]
+		q.waiting[0] = nil
+		q.waiting = q.waiting[1:]
+		if !now.Before(t.Deadline) {
+			q.drop(t, failure.DeadlineInQueue, "")
+			continue
+		}
+		t.state = Started
+		t.StartedAt = now
+		q.running++
+		q.out.Start = append(q.out.Start, t)
+	}
+}
+
+// drop ends a queued task that never ran. The caller removes it from waiting.
+func (q *Queue) drop(t *Task, k failure.Kind, reason string) {
+	q.release(t)
+	q.seen.forget(t.id())
+	q.refuse(t, k, reason)
+}
+
+func (q *Queue) refuse(t *Task, k failure.Kind, reason string) {
+	if t.state != Queued {
+		panic("queue: a task that started is called not run")
+	}
+	t.state = Refused
+	q.reply(t, Outcome{Kind: k, Ran: failure.NotRun, Reason: reason}, 0)
+}
+
+func (q *Queue) release(t *Task) {
+	delete(q.tasks, t.Key)
+	if q.mine[t.Link] > 0 {
+		q.mine[t.Link]--
+	}
+}
+
+// compact removes tasks that are no longer queued from the waiting list.
+func (q *Queue) compact() {
+	kept := q.waiting[:0]
+	for _, t := range q.waiting {
+		if t.state == Queued {
+			kept = append(kept, t)
+		}
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
+func (q *Queue) reply(t *Task, o Outcome, ran time.Duration) {
+	q.out.Reports = append(q.out.Reports, Report{Link: t.Link, Result: wire.Result{
+		Job:       t.Job,
+		Index:     t.Index,
+		Kind:      uint8(o.Kind),
+		Ran:       uint8(o.Ran),
+		Reason:    o.Reason,
+		Body:      o.Body,
+		RunMicros: uint64(ran / time.Microsecond),
+	}})
+}
