--- a/agent/agent.go
+++ b/agent/agent.go
@@ -46,7 +46,7 @@
 
 	// Owned by the control loop.
 	queue  *queue.Queue
-	claims *claim.Table
+	claims claim.Holder
 	links  map[queue.Link]*peer.Conn
 	byConn map[*peer.Conn]queue.Link
 	last   queue.Link
@@ -68,9 +68,12 @@
 		done:        make(chan struct{}),
 		stopped:     make(chan struct{}),
 		queue:       queue.New(queueLimits(cfg)),
-		claims:      claim.New(time.Now(), claimLimits(cfg)),
-		links:       make(map[queue.Link]*peer.Conn),
-		byConn:      make(map[*peer.Conn]queue.Link),
+		claims: claim.Holder{
+			Table:      claim.New(time.Now(), claimLimits(cfg)),
+			Assignment: claim.Assignment(cfg.Claims.Holders),
+		},
+		links:  make(map[queue.Link]*peer.Conn),
+		byConn: make(map[*peer.Conn]queue.Link),
 	}
 	a.halt, a.kill = context.WithCancel(context.Background())
 	if err := a.listen(); err != nil {
--- a/agent/control.go
+++ b/agent/control.go
@@ -134,7 +134,9 @@
 	}
 	switch m := m.(type) {
 	case *wire.Place:
-		a.queue.Place(now, link, m)
+		if !a.queue.Place(now, link, m) {
+			a.log.Warn("message repeated", zap.Stringer("kind", m.WireKind()))
+		}
 	case *wire.Cancel:
 		a.queue.Cancel(now, link, m)
 	case *wire.Claim:
@@ -145,27 +147,10 @@
 }
 
 func (a *Agent) claim(now time.Time, c *peer.Conn, m *wire.Claim) {
-	r := a.judge(now, c, m)
-	a.count.Verdict(r.Verdict)
-	_ = c.Send(&wire.ClaimReply{
-		Seq:              m.Seq,
-		Verdict:          uint8(r.Verdict),
-		Owner:            r.Owner.Address,
-		OwnerIncarnation: r.Owner.Incarnation,
-		GrantSeq:         r.Seq,
-		Reason:           r.Reason,
-	})
-}
-
-func (a *Agent) judge(now time.Time, c *peer.Conn, m *wire.Claim) claim.Reply {
-	switch {
-	case m.Assignment != a.assignment:
-		return claim.Reply{Verdict: claim.NotHolder}
-	case m.Lookup:
-		return a.claims.Lookup(now, m.Submission)
-	}
 	owner := claim.Owner{Address: c.Peer().Address, Incarnation: c.Peer().Incarnation}
-	return a.claims.Claim(now, claim.Request{ID: m.Submission, Digest: string(m.Digest), Owner: owner, Seq: m.Seq})
+	r := a.claims.Serve(now, owner, m)
+	a.count.Verdict(claim.Verdict(r.Verdict))
+	_ = c.Send(r)
 }
 
 func (a *Agent) finished(now time.Time, e event) {
--- a/claim/id.go
+++ b/claim/id.go
@@ -45,9 +45,9 @@
 	return ms
 }
 
-// Holder returns the member responsible for the ID: the one with the highest
+// HolderOf returns the member responsible for the ID: the one with the highest
 // hash of member and ID (rendezvous hashing). It returns "" for no members.
-func Holder(id string, members []string) string {
+func HolderOf(id string, members []string) string {
 	var best string
 	var top uint64
 	for _, m := range members {
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -24,7 +24,7 @@
 // claim asks the holder of the submission's ID whether we may start it.
 func (c *Core) claim(now time.Time, r *record) {
 	r.phase = claiming
-	holder := claim.Holder(r.sub.ID, c.set.Holders)
+	holder := claim.HolderOf(r.sub.ID, c.set.Holders)
 	p := c.peers[holder]
 	if p == nil || !p.up || p.silent {
 		c.pass(r, c.unclaimed(r, "the holder of the ID cannot be reached"))
@@ -104,10 +104,8 @@
 // expireClaims gives up claims that were not answered in time. Their callers
 // are answered at once and may ask again.
 func (c *Core) expireClaims(now time.Time) {
-	for seq, p := range c.claims {
-		if now.Before(p.until) {
-			continue
-		}
+	for _, seq := range matching(c.claims, func(p *pending) bool { return !now.Before(p.until) }) {
+		p := c.claims[seq]
 		delete(c.claims, seq)
 		if s := c.peers[p.peer]; s != nil {
 			s.silent = true
@@ -118,11 +116,10 @@
 
 // dropClaims gives up the claims asked of a peer that is gone.
 func (c *Core) dropClaims(now time.Time, peer string) {
-	for seq, p := range c.claims {
-		if p.peer == peer {
-			delete(c.claims, seq)
-			c.giveUpClaim(now, seq, p, "the link to the holder of the ID broke")
-		}
+	for _, seq := range matching(c.claims, func(p *pending) bool { return p.peer == peer }) {
+		p := c.claims[seq]
+		delete(c.claims, seq)
+		c.giveUpClaim(now, seq, p, "the link to the holder of the ID broke")
 	}
 }
 
--- a/dispatch/fetch.go
+++ b/dispatch/fetch.go
@@ -20,18 +20,16 @@
 func (c *Core) startFetch(p *pending) {
 	c.fetches[c.nextSeq()] = p
 	if s := c.peers[p.peer]; s != nil && s.up {
-		c.sendFetches(time.Time{}, p.peer, s.incarnation)
+		c.sendFetches(p.peer, s.incarnation)
 		return
 	}
 	c.out.Dials = append(c.out.Dials, p.peer)
 }
 
 // sendFetches sends the questions that wait for a connection to the peer.
-func (c *Core) sendFetches(_ time.Time, peer, incarnation string) {
-	for seq, p := range c.fetches {
-		if p.peer != peer || p.sent {
-			continue
-		}
+func (c *Core) sendFetches(peer, incarnation string) {
+	for _, seq := range matching(c.fetches, func(p *pending) bool { return p.peer == peer && !p.sent }) {
+		p := c.fetches[seq]
 		if p.owner != incarnation {
 			delete(c.fetches, seq)
 			c.fetchFailed(p, failure.OutcomeUnknown, "the entry that ran the submission is gone")
@@ -49,27 +47,24 @@
 // expireFetches gives up questions that could not be sent in time, and those
 // whose caller's own deadline has passed.
 func (c *Core) expireFetches(now time.Time) {
-	for seq, p := range c.fetches {
-		over := !p.sent && now.After(p.until)
-		if p.sent && p.r != nil && now.After(p.r.sub.Deadline.Add(c.set.Grace)) {
-			over = true
-		}
-		if p.sent && p.r == nil && now.After(p.until) {
-			over = true
-		}
-		if over {
-			delete(c.fetches, seq)
-			c.fetchFailed(p, failure.ClaimUnavailable, "the entry that runs the submission does not answer")
+	late := func(p *pending) bool {
+		if p.sent && p.r != nil {
+			return now.After(p.r.sub.Deadline.Add(c.set.Grace))
 		}
+		return now.After(p.until)
+	}
+	for _, seq := range matching(c.fetches, late) {
+		p := c.fetches[seq]
+		delete(c.fetches, seq)
+		c.fetchFailed(p, failure.ClaimUnavailable, "the entry that runs the submission does not answer")
 	}
 }
 
 func (c *Core) dropFetches(peer string) {
-	for seq, p := range c.fetches {
-		if p.peer == peer && p.sent {
-			delete(c.fetches, seq)
-			c.fetchFailed(p, failure.ClaimUnavailable, "the link to the entry that runs the submission broke")
-		}
+	for _, seq := range matching(c.fetches, func(p *pending) bool { return p.peer == peer && p.sent }) {
+		p := c.fetches[seq]
+		delete(c.fetches, seq)
+		c.fetchFailed(p, failure.ClaimUnavailable, "the link to the entry that runs the submission broke")
 	}
 }
 
--- a/dispatch/lookup.go
+++ b/dispatch/lookup.go
@@ -17,7 +17,7 @@
 		c.answer(w, stateOf(r))
 		return
 	}
-	p := &pending{peer: claim.Holder(id, c.set.Holders), until: now.Add(c.set.ClaimWait), id: id, lookup: &w}
+	p := &pending{peer: claim.HolderOf(id, c.set.Holders), until: now.Add(c.set.ClaimWait), id: id, lookup: &w}
 	if !c.reachable(p.peer) {
 		c.lookupFailed(p, failure.ClaimUnavailable, "the holder of the ID cannot be reached")
 		return
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -16,7 +16,7 @@
 			ID: peer, Pool: h.Pool, DataCentre: h.DataCentre, Slots: int(h.Slots), Leaving: h.Leaving,
 		})
 	}
-	c.sendFetches(now, peer, h.Incarnation)
+	c.sendFetches(peer, h.Incarnation)
 }
 
 // PeerDown records that the connection is lost. What the peer held has an
@@ -26,8 +26,8 @@
 	c.agents.Remove(peer)
 	c.dropClaims(now, peer)
 	c.dropFetches(peer)
-	for _, r := range c.jobs {
-		c.loseAgent(now, r, peer)
+	for _, n := range matching(c.jobs, func(r *record) bool { return r.job.AnyPlacedAt(peer) }) {
+		c.loseAgent(now, c.jobs[n], peer)
 	}
 }
 
@@ -103,7 +103,7 @@
 func (c *Core) result(now time.Time, agent string, m *wire.Result) (e ending, failed bool) {
 	r := c.jobs[m.Job]
 	i := int(m.Index)
-	if r == nil || !r.job.Holds(i, agent) {
+	if r == nil || !r.job.Holds(i, agent, int(m.Attempt)) {
 		c.count.Dropped(dropLateResult)
 		return ending{}, false
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -40,7 +40,7 @@
 
 func (c *Core) unplace(r *record, byAgent map[string][]int) {
 	for agent, indexes := range byAgent {
-		c.agents.Return(agent, len(indexes))
+		c.agents.Return(agent, len(indexes)) // the order does not matter
 	}
 }
 
@@ -56,18 +56,19 @@
 	for _, i := range indexes {
 		payload := r.sub.Payloads[i]
 		if m == nil || size+len(payload) > maxPlaceBytes {
-			m = c.newPlace(now, r)
+			m = c.newPlace(now, r, agent)
 			size = 0
 			c.send(agent, m)
 		}
 		r.job.Place(i, agent)
-		m.Tasks = append(m.Tasks, wire.Task{Index: uint32(i), Payload: payload})
+		m.Tasks = append(m.Tasks, wire.Task{Index: uint32(i), Attempt: uint32(r.job.Tasks[i].Attempts), Payload: payload})
 		size += len(payload)
 	}
 }
 
-func (c *Core) newPlace(now time.Time, r *record) *wire.Place {
+func (c *Core) newPlace(now time.Time, r *record, agent string) *wire.Place {
 	return &wire.Place{
+		Seq:           c.nextSeq(),
 		Job:           r.job.Number,
 		Submission:    r.sub.ID,
 		Team:          r.sub.Team,
@@ -186,9 +187,8 @@
 
 // expireJobs fails jobs whose deadline has passed without a word of the agents.
 func (c *Core) expireJobs(now time.Time) {
-	for _, r := range c.jobs {
-		if now.After(r.sub.Deadline.Add(c.set.Grace)) {
-			c.fail(now, r, -1, failure.DeadlineWhileRunning, "the deadline passed and not every agent has answered")
-		}
+	late := func(r *record) bool { return now.After(r.sub.Deadline.Add(c.set.Grace)) }
+	for _, n := range matching(c.jobs, late) {
+		c.fail(now, c.jobs[n], -1, failure.DeadlineWhileRunning, "the deadline passed and not every agent has answered")
 	}
 }
--- a/job/job.go
+++ b/job/job.go
@@ -57,10 +57,14 @@
 	t.Attempts++
 }
 
-// Holds returns whether the task is placed at the agent. A result from
-// anywhere else is late or crossed, and must be dropped.
-func (j *Job) Holds(i int, agent string) bool {
-	return i >= 0 && i < len(j.Tasks) && j.Tasks[i].State == Placed && j.Tasks[i].Agent == agent
+// Holds returns whether the task is placed at the agent by that attempt. A
+// result of anything else is late, crossed or repeated, and must be dropped.
+func (j *Job) Holds(i int, agent string, attempt int) bool {
+	if i < 0 || i >= len(j.Tasks) {
+		return false
+	}
+	t := &j.Tasks[i]
+	return t.State == Placed && t.Agent == agent && t.Attempts == attempt
 }
 
 // Finish records the answer of a placed task and completes the job with the
@@ -162,3 +166,13 @@
 	}
 	return j.Tasks[i].Agent
 }
+
+// AnyPlacedAt returns whether the agent holds a task of the job.
+func (j *Job) AnyPlacedAt(agent string) bool {
+	for i := range j.Tasks {
+		if j.PlacedAt(i) == agent {
+			return true
+		}
+	}
+	return false
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -37,6 +37,7 @@
 type Task struct {
 	Key
 	Submission    string
+	Attempt       uint32
 	Team          string
 	Payload       []byte
 	Deadline      time.Time
@@ -86,30 +87,44 @@
 	limits  Limits
 	waiting []*Task
 	tasks   map[Key]*Task
-	mine    map[Link]uint32
+	links   map[Link]*linkState
 	running int
 	leaving bool
 	seen    *memory
 	out     Effects
 }
 
+// linkState is what is kept for each connection.
+type linkState struct {
+	held    uint32 // its tasks, queued or running
+	lastSeq uint64 // of its last Place
+}
+
 // New returns an empty queue.
 func New(l Limits) *Queue {
 	return &Queue{
 		limits: l,
 		tasks:  make(map[Key]*Task),
-		mine:   make(map[Link]uint32),
+		links:  make(map[Link]*linkState),
 		seen:   newMemory(l.Remember, l.Window),
 	}
 }
 
-// Place takes the tasks of p, each of which is queued or refused.
-func (q *Queue) Place(now time.Time, from Link, p *wire.Place) {
+// Place takes the tasks of p, each of which is queued or refused. It returns
+// false when p was taken before: a task that was refused as not run may not
+// start by a copy of its message.
+func (q *Queue) Place(now time.Time, from Link, p *wire.Place) bool {
+	l := q.link(from)
+	if p.Seq <= l.lastSeq {
+		return false
+	}
+	l.lastSeq = p.Seq
 	deadline := now.Add(time.Duration(p.BudgetMicros) * time.Microsecond)
 	for i := range p.Tasks {
 		t := &Task{
 			Key:           Key{Link: from, Job: p.Job, Index: p.Tasks[i].Index},
 			Submission:    p.Submission,
+			Attempt:       p.Tasks[i].Attempt,
 			Team:          p.Team,
 			Payload:       p.Tasks[i].Payload,
 			Deadline:      deadline,
@@ -118,22 +133,34 @@
 		q.admit(now, t)
 	}
 	q.fill(now)
+	return true
+}
+
+func (q *Queue) link(l Link) *linkState {
+	s := q.links[l]
+	if s == nil {
+		s = &linkState{}
+		q.links[l] = s
+	}
+	return s
 }
 
+// admit looks first for another copy of the task: a task that may have started
+// must not be called "not run" for any other reason.
 func (q *Queue) admit(now time.Time, t *Task) {
 	switch {
-	case q.leaving:
-		q.refuse(t, failure.Stopping, "the backend server is leaving")
 	case q.tasks[t.Key] != nil:
 		q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown, Reason: "placed twice on one link"}, 0)
 	case q.seen.has(t.id()):
 		q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown, Reason: "seen before"}, 0)
+	case q.leaving:
+		q.refuse(t, failure.Stopping, "the backend server is leaving")
 	case len(q.waiting)+q.running >= q.limits.Queue+q.limits.Slots:
 		q.refuse(t, failure.QueueFull, "")
 	default:
 		q.seen.add(now, t.id())
 		q.tasks[t.Key] = t
-		q.mine[t.Link]++
+		q.link(t.Link).held++
 		q.waiting = append(q.waiting, t)
 	}
 }
@@ -158,7 +185,7 @@
 		}
 	}
 	q.compact()
-	delete(q.mine, link)
+	delete(q.links, link)
 }
 
 // Finished records the end of a started task.
@@ -205,10 +232,14 @@
 
 // Load returns the load to report on a link.
 func (q *Queue) Load(link Link) wire.Load {
+	var mine uint32
+	if l := q.links[link]; l != nil {
+		mine = l.held
+	}
 	return wire.Load{
 		Queued:  uint32(len(q.waiting)),
 		Running: uint32(q.running),
-		Mine:    q.mine[link],
+		Mine:    mine,
 		Slots:   uint32(q.limits.Slots),
 		Leaving: q.leaving,
 	}
@@ -261,8 +292,8 @@
 
 func (q *Queue) release(t *Task) {
 	delete(q.tasks, t.Key)
-	if q.mine[t.Link] > 0 {
-		q.mine[t.Link]--
+	if l := q.links[t.Link]; l != nil {
+		l.held--
 	}
 }
 
@@ -282,6 +313,7 @@
 	q.out.Reports = append(q.out.Reports, Report{Link: t.Link, Result: wire.Result{
 		Job:       t.Job,
 		Index:     t.Index,
+		Attempt:   t.Attempt,
 		Kind:      uint8(o.Kind),
 		Ran:       uint8(o.Ran),
 		Reason:    o.Reason,
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -41,12 +41,15 @@
 // Task is one task of a Place message.
 type Task struct {
 	Index   uint32 // position within the submission, from 0
+	Attempt uint32 // counts the placings of the task, from 1
 	Payload []byte // JSON
 }
 
 // Place asks an agent to queue and run tasks of one submission. Each task is
 // answered by exactly one Result as long as the connection lasts.
 type Place struct {
+	// Seq rises with each Place on a connection; a copy of one is dropped.
+	Seq           uint64
 	Job           uint64 // the sender's number for the job; unique in its incarnation
 	Submission    string
 	Team          string
@@ -64,12 +67,13 @@
 
 // Result is an agent's word on one task.
 type Result struct {
-	Job    uint64
-	Index  uint32
-	Kind   uint8 // a failure.Kind; None means that Body is the answer
-	Ran    uint8 // a failure.Ran
-	Reason string
-	Body   []byte // JSON, when Kind is None
+	Job     uint64
+	Index   uint32
+	Attempt uint32 // of the placing that is answered
+	Kind    uint8  // a failure.Kind; None means that Body is the answer
+	Ran     uint8  // a failure.Ran
+	Reason  string
+	Body    []byte // JSON, when Kind is None
 	// RunMicros is how long the backend server held the task.
 	RunMicros uint64
 }
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -236,8 +236,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Place) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint64(o, z.Job)
 	o = msgp.AppendString(o, z.Submission)
 	o = msgp.AppendString(o, z.Team)
@@ -245,9 +246,10 @@
 	o = msgp.AppendBool(o, z.NotRepeatable)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
 	for za0001 := range z.Tasks {
-		// array header, size 2
-		o = append(o, 0x92)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendUint32(o, z.Tasks[za0001].Index)
+		o = msgp.AppendUint32(o, z.Tasks[za0001].Attempt)
 		o = msgp.AppendBytes(o, z.Tasks[za0001].Payload)
 	}
 	return
@@ -261,8 +263,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
 		return
 	}
 	z.Job, bts, err = msgp.ReadUint64Bytes(bts)
@@ -312,8 +319,8 @@
 			err = msgp.WrapError(err, "Tasks", za0001)
 			return
 		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
 		}
 		z.Tasks[za0001].Index, bts, err = msgp.ReadUint32Bytes(bts)
@@ -321,6 +328,11 @@
 			err = msgp.WrapError(err, "Tasks", za0001, "Index")
 			return
 		}
+		z.Tasks[za0001].Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tasks", za0001, "Attempt")
+			return
+		}
 		var zb0004 uint32
 		zb0004, bts, err = msgp.ReadBytesHeader(bts)
 		if err != nil {
@@ -349,9 +361,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Place) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.StringPrefixSize + len(z.Team) + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.StringPrefixSize + len(z.Team) + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
-		s += 1 + msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Tasks[za0001].Payload)
+		s += 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Tasks[za0001].Payload)
 	}
 	return
 }
@@ -359,10 +371,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Result) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.Job)
 	o = msgp.AppendUint32(o, z.Index)
+	o = msgp.AppendUint32(o, z.Attempt)
 	o = msgp.AppendUint8(o, z.Kind)
 	o = msgp.AppendUint8(o, z.Ran)
 	o = msgp.AppendString(o, z.Reason)
@@ -379,8 +392,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Job, bts, err = msgp.ReadUint64Bytes(bts)
@@ -393,6 +406,11 @@
 		err = msgp.WrapError(err, "Index")
 		return
 	}
+	z.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
 	z.Kind, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Kind")
@@ -440,7 +458,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Result) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Reason) + msgp.BytesPrefixSize + len(z.Body) + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Reason) + msgp.BytesPrefixSize + len(z.Body) + msgp.Uint64Size
 	return
 }
 
@@ -548,9 +566,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Task) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint32(o, z.Index)
+	o = msgp.AppendUint32(o, z.Attempt)
 	o = msgp.AppendBytes(o, z.Payload)
 	return
 }
@@ -563,8 +582,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Index, bts, err = msgp.ReadUint32Bytes(bts)
@@ -572,6 +591,11 @@
 		err = msgp.WrapError(err, "Index")
 		return
 	}
+	z.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
@@ -599,6 +623,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Task) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Payload)
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Payload)
 	return
 }
