dispatch: take silent agents out of use

Cause: an agent that is stopped but not dead (SIGSTOP, a link that drops everything) kept its connection, and so went on getting tasks and claims.

Change: an agent that holds tasks and says nothing for 200 ms is pinged; one that does not answer within 200 ms gets nothing until it is heard. An entry to which more than 40% of the agents seem silent suspects itself, and one that stood still excuses all. Agents start tasks only after all that waits in the inbox is read, so that a cancel that waits there counts; a Place that was long on the way is judged by the sender's clock within the bound.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -121,6 +121,8 @@
 		Queue:    cfg.Backend.Queue,
 		Remember: cfg.Claims.Entries,
 		Window:   cfg.Claims.Window.D(),
+
+		ClockBound: cfg.Peers.ClockBound.D(),
 	}
 }
 
--- a/agent/control.go
+++ b/agent/control.go
@@ -139,6 +139,8 @@
 		}
 	case *wire.Cancel:
 		a.queue.Cancel(now, link, m)
+	case *wire.Ping:
+		a.sendLoad(link)
 	case *wire.Claim:
 		a.claim(now, c, m)
 	default:
@@ -160,7 +162,7 @@
 
 // perform does what the queue has decided.
 func (a *Agent) perform() {
-	out := a.queue.Take()
+	out := a.queue.Take(time.Now())
 	for _, t := range out.Start {
 		a.count.Started()
 		go a.run(t)
--- a/config/placement.go
+++ b/config/placement.go
@@ -1,15 +1,29 @@
 package config
 
+import "time"
+
 // Placement is the section on the choice of an agent for a task.
 type Placement struct {
 	// Choices is the number of agents drawn at random, of which the least
 	// loaded is taken; 0 looks at all.
-	Choices int `json:"choices"`
+	Choices     int      `json:"choices"`
+	PingAfter   Duration `json:"ping_after"`   // without a word of an agent that holds tasks
+	PingWait    Duration `json:"ping_wait"`    // for its answer, before it gets no more
+	SilentShare float64  `json:"silent_share"` // of the agents, before an entry suspects itself
 }
 
 // DefaultPlacement returns the defaults of Placement.
-func DefaultPlacement() Placement { return Placement{Choices: 0} }
+func DefaultPlacement() Placement {
+	return Placement{
+		PingAfter:   Duration(200 * time.Millisecond),
+		PingWait:    Duration(200 * time.Millisecond),
+		SilentShare: 0.4,
+	}
+}
 
 func (p *Placement) check(c *checker) {
 	between(c, "placement.choices", p.Choices, 0, 64)
+	c.span("placement.ping_after", p.PingAfter, Duration(50*time.Millisecond), Duration(time.Minute))
+	c.span("placement.ping_wait", p.PingWait, Duration(50*time.Millisecond), Duration(time.Minute))
+	between(c, "placement.silent_share", p.SilentShare, 0, 1)
 }
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -107,9 +107,7 @@
 	for _, seq := range matching(c.claims, func(p *pending) bool { return !now.Before(p.until) }) {
 		p := c.claims[seq]
 		delete(c.claims, seq)
-		if s := c.peers[p.peer]; s != nil {
-			s.silent = true
-		}
+		c.markSilent(p.peer)
 		c.giveUpClaim(now, seq, p, "the holder of the ID did not answer in time")
 	}
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -30,6 +30,9 @@
 	MaxClaims   int           // claims asked and not answered, at most
 	ClaimWait   time.Duration // for the holder's answer to a claim
 	FetchWait   time.Duration // for a link to another entry
+	PingAfter   time.Duration // without a word of an agent that holds tasks
+	PingWait    time.Duration // for its answer, before it counts as silent
+	SilentShare float64       // of the agents that may be silent before we suspect ourselves
 	Grace       time.Duration // after a deadline, for the agents' own word on it
 	Attempts    int           // at placing a task, the first one included
 	RetryRatio  float64       // retries for each first attempt
@@ -79,6 +82,7 @@
 	Violated(promise string) // a promise of the program found broken; one of Promises
 	Resent(found string)     // a copy of a known submission: "running" or "answered"
 	Placed(n int)            // tasks sent to an agent
+	Suspected(who string)    // a silent "agent", or "self" when too many are
 }
 
 // The reasons for dropping a message.
@@ -127,6 +131,8 @@
 	later   []delayed
 	running int // tasks of unfinished jobs
 	rate    meter
+	watched time.Time // when silent agents were last looked for
+	silent  int       // agents out of use for their silence
 	lastJob uint64
 	lastSeq uint64
 	stop    bool
@@ -137,7 +143,9 @@
 type peerState struct {
 	up          bool
 	incarnation string
-	silent      bool // a claim was not answered in time, and nothing came since
+	silent      bool // did not answer in time, and was not heard since
+	heard       time.Time
+	pinged      time.Time // zero when no answer is waited for
 }
 
 // New returns the core of an entry that starts now. rng makes its random
@@ -197,6 +205,7 @@
 	c.expireFetches(now)
 	c.expireJobs(now)
 	c.placeDelayed(now)
+	c.watch(now)
 	c.forget(now)
 	c.rate.roll(now)
 }
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -10,7 +10,7 @@
 
 // PeerUp records a connection to a peer. For agents peer is their address.
 func (c *Core) PeerUp(now time.Time, peer string, h *wire.Hello) {
-	c.peers[peer] = &peerState{up: true, incarnation: h.Incarnation}
+	c.peers[peer] = &peerState{up: true, incarnation: h.Incarnation, heard: now}
 	if h.Role == wire.RoleAgent {
 		c.agents.Add(&placement.Agent{
 			ID: peer, Pool: h.Pool, DataCentre: h.DataCentre, Slots: int(h.Slots), Leaving: h.Leaving,
@@ -23,6 +23,7 @@
 // unknown end.
 func (c *Core) PeerDown(now time.Time, peer string) {
 	delete(c.peers, peer)
+	c.unsilence(peer)
 	c.agents.Remove(peer)
 	c.dropClaims(now, peer)
 	c.dropFetches(peer)
@@ -57,9 +58,7 @@
 
 // Message takes a message from a peer.
 func (c *Core) Message(now time.Time, peer string, m wire.Message) {
-	if p := c.peers[peer]; p != nil {
-		p.silent = false
-	}
+	c.hear(now, peer)
 	switch m := m.(type) {
 	case *wire.Results:
 		c.results(now, peer, m)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -73,6 +73,7 @@
 		Submission:    r.sub.ID,
 		Team:          r.sub.Team,
 		BudgetMicros:  uint64(max(0, r.sub.Deadline.Sub(now)) / time.Microsecond),
+		DeadlineUnix:  r.sub.Deadline.UnixMicro(),
 		NotRepeatable: r.sub.NotRepeatable,
 	}
 }
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -139,7 +139,7 @@
 	if len(w.subs) == 0 {
 		return
 	}
-	s := *w.subs[w.between(max(0, len(w.subs)-5), len(w.subs)-1)]
+	s := *w.subs[w.between(max(0, len(w.subs)-10), len(w.subs)-1)]
 	if w.between(0, 19) == 0 {
 		s.Digest[0]++
 	}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -146,8 +146,8 @@
 	a.inc = w.incarnation()
 	a.offset = w.drawOffset()
 	a.paused, a.left, a.running = false, false, nil
-	a.queue = queue.New(queue.Limits{Slots: 2, Queue: 2, Remember: 1000, Window: window})
-	limits := claim.Limits{Entries: 6, Window: window, ClockBound: clockBound}
+	a.queue = queue.New(queue.Limits{Slots: 2, Queue: 2, Remember: 1000, Window: window, ClockBound: clockBound})
+	limits := claim.Limits{Entries: 2, Window: window, ClockBound: clockBound}
 	a.holder = claim.Holder{Table: claim.New(w.agentNow(a), limits), Assignment: claim.Assignment(w.holders)}
 }
 
@@ -167,6 +167,9 @@
 		ClaimWait:   claimWait,
 		FetchWait:   claimWait,
 		Grace:       20 * time.Millisecond,
+		PingAfter:   100 * time.Millisecond,
+		PingWait:    100 * time.Millisecond,
+		SilentShare: 0.4,
 		Attempts:    3,
 		RetryRatio:  0.5,
 		RetryBurst:  10,
@@ -273,6 +276,8 @@
 	switch m := m.(type) {
 	case *wire.Place:
 		a.queue.Place(now, c.link, m)
+	case *wire.Ping:
+		c.toEntry.push(&wire.Results{Load: a.queue.Load(c.link)})
 	case *wire.Cancel:
 		a.queue.Cancel(now, c.link, m)
 	case *wire.Claim:
@@ -316,7 +321,7 @@
 func (p *pipe) ready() bool { return len(p.messages) > 0 || p.broken && !p.ended }
 
 func (w *world) flushAgent(a *simAgent) {
-	out := a.queue.Take()
+	out := a.queue.Take(w.agentNow(a))
 	for _, t := range out.Start {
 		w.start(a, t)
 	}
@@ -458,6 +463,7 @@
 func (s *tally) Violated(promise string) { panic("promise violated: " + promise) }
 func (s *tally) Resent(found string)     { s.add("resend: " + found) }
 func (s *tally) Placed(int)              {}
+func (s *tally) Suspected(who string)    { s.add("suspected: " + who) }
 
 func (s *tally) String() string {
 	lines := make([]string, 0, len(s.counts))
--- a/metrics/dispatch.go
+++ b/metrics/dispatch.go
@@ -17,6 +17,7 @@
 	dropped  map[string]tally.Counter
 	violated map[string]tally.Counter
 	resent   map[string]tally.Counter
+	suspect  map[string]tally.Counter
 	placed   tally.Counter
 }
 
@@ -35,6 +36,7 @@
 		dropped:  labelled(s, "messages_dropped", "reason", append(dispatch.DropReasons(), other)),
 		violated: labelled(s, "promises_violated", "promise", append(dispatch.Promises(), other)),
 		resent:   labelled(s, "resends", "found", []string{"running", "answered"}),
+		suspect:  labelled(s, "suspicions", "of", []string{"agent", "self"}),
 		placed:   s.Counter("tasks_placed"),
 	}
 }
@@ -71,3 +73,6 @@
 
 // Placed counts tasks sent to an agent.
 func (d *Dispatch) Placed(n int) { d.placed.Inc(int64(n)) }
+
+// Suspected counts an agent found silent, or the entry suspecting itself.
+func (d *Dispatch) Suspected(who string) { inc(d.suspect, who, 1) }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -17,6 +18,7 @@
 	Slots       int
 	Leaving     bool // says so itself; for good
 	ListLeaving bool // the platform's box list says so
+	Silent      bool // does not answer
 	Outstanding int  // tasks placed by this entry and not answered
 
 	others int // tasks of other entries, as last reported
@@ -41,6 +43,7 @@
 	policy Policy
 	rng    *rand.Rand
 	byID   map[string]*Agent
+	all    []*Agent
 	pools  map[string][]*Agent
 }
 
@@ -53,6 +56,7 @@
 func (s *Set) Add(a *Agent) {
 	s.Remove(a.ID)
 	s.byID[a.ID] = a
+	s.all = append(s.all, a)
 	s.pools[a.Pool] = append(s.pools[a.Pool], a)
 }
 
@@ -63,18 +67,23 @@
 		return
 	}
 	delete(s.byID, id)
-	pool := s.pools[a.Pool]
-	for i := range pool {
-		if pool[i] == a {
-			s.pools[a.Pool] = append(pool[:i], pool[i+1:]...)
-			break
-		}
-	}
+	s.all = without(s.all, a)
+	s.pools[a.Pool] = without(s.pools[a.Pool], a)
 	if len(s.pools[a.Pool]) == 0 {
 		delete(s.pools, a.Pool)
 	}
 }
 
+func without(list []*Agent, a *Agent) []*Agent {
+	if i := slices.Index(list, a); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+// All returns all agents, which the caller must not change.
+func (s *Set) All() []*Agent { return s.all }
+
 // Agent returns the agent of that ID, or nil.
 func (s *Set) Agent(id string) *Agent { return s.byID[id] }
 
@@ -146,13 +155,8 @@
 }
 
 func usable(a *Agent, avoid []string) bool {
-	if a.Leaving || a.ListLeaving {
+	if a.Leaving || a.ListLeaving || a.Silent {
 		return false
 	}
-	for _, id := range avoid {
-		if id == a.ID {
-			return false
-		}
-	}
-	return true
+	return !slices.Contains(avoid, a.ID)
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -58,6 +58,8 @@
 	Queue    int           // tasks waiting
 	Remember int           // past tasks remembered, so that none starts twice
 	Window   time.Duration // how long a past task is remembered
+	// ClockBound is the greatest difference to an entry's clock.
+	ClockBound time.Duration
 }
 
 // Report is a result for one link.
@@ -119,7 +121,7 @@
 		return false
 	}
 	l.lastSeq = p.Seq
-	deadline := now.Add(time.Duration(p.BudgetMicros) * time.Microsecond)
+	deadline := q.deadline(now, p)
 	for i := range p.Tasks {
 		t := &Task{
 			Key:           Key{Link: from, Job: p.Job, Index: p.Tasks[i].Index},
@@ -132,10 +134,21 @@
 		}
 		q.admit(now, t)
 	}
-	q.fill(now)
 	return true
 }
 
+// deadline is the time at which the message was received plus the time left,
+// unless it was long on the way or we were paused: then the sender's clock
+// tells, within the bound.
+func (q *Queue) deadline(now time.Time, p *wire.Place) time.Time {
+	relative := now.Add(time.Duration(p.BudgetMicros) * time.Microsecond)
+	absolute := time.UnixMicro(p.DeadlineUnix).Add(q.limits.ClockBound)
+	if absolute.Before(relative) {
+		return absolute
+	}
+	return relative
+}
+
 func (q *Queue) link(l Link) *linkState {
 	s := q.links[l]
 	if s == nil {
@@ -200,7 +213,6 @@
 		q.seen.forget(t.id())
 	}
 	q.reply(t, o, now.Sub(t.StartedAt))
-	q.fill(now)
 }
 
 // Expire refuses queued tasks whose deadline has passed.
@@ -251,8 +263,11 @@
 	return q.seen.order.Len(), q.seen.evicted
 }
 
-// Take returns what has to be done since the last call.
-func (q *Queue) Take() Effects {
+// Take returns what has to be done since the last call. Tasks are started here
+// and not as they come, so that of all that waits in an agent's inbox the
+// cancels count first.
+func (q *Queue) Take(now time.Time) Effects {
+	q.fill(now)
 	out := q.out
 	q.out = Effects{}
 	return out
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -22,6 +22,7 @@
 	KindClaimed Kind = 6
 	KindFetch   Kind = 7
 	KindFetched Kind = 8
+	KindPing    Kind = 9
 )
 
 // String returns the kind's name, as used in metric labels.
@@ -43,6 +44,8 @@
 		return "fetch"
 	case KindFetched:
 		return "fetched"
+	case KindPing:
+		return "ping"
 	}
 	return "unknown"
 }
@@ -51,7 +54,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		KindHello, KindPlace, KindCancel, KindResults,
-		KindClaim, KindClaimed, KindFetch, KindFetched,
+		KindClaim, KindClaimed, KindFetch, KindFetched, KindPing,
 	}
 }
 
@@ -86,6 +89,9 @@
 // WireKind returns KindFetched.
 func (*Fetched) WireKind() Kind { return KindFetched }
 
+// WireKind returns KindPing.
+func (*Ping) WireKind() Kind { return KindPing }
+
 // The ways in which a frame can be wrong. The connection is of no use after
 // any of them.
 var (
@@ -194,6 +200,8 @@
 		return &Fetch{}
 	case KindFetched:
 		return &Fetched{}
+	case KindPing:
+		return &Ping{}
 	}
 	return nil
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -7,7 +7,7 @@
 package wire
 
 //go:generate go tool msgp -io=false -tests=false -file messages.go -o messages_gen.go
-//msgp:tuple Hello Task Place Cancel Result Load Results
+//msgp:tuple Hello Task Place Cancel Result Load Results Ping
 //msgp:limit arrays:4096
 
 // Version is the version of this protocol. Peers of another version are
@@ -54,6 +54,7 @@
 	Submission    string
 	Team          string
 	BudgetMicros  uint64 // time left until the deadline, when sent
+	DeadlineUnix  int64  // the deadline by the sender's clock, in microseconds
 	NotRepeatable bool
 	Tasks         []Task
 }
@@ -92,3 +93,6 @@
 	Load  Load
 	Items []Result
 }
+
+// Ping asks an agent for a Results message, be it without items.
+type Ping struct{}
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -233,16 +233,47 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Ping) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 0
+	o = append(o, 0x90)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Ping) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 0 {
+		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Ping) Msgsize() (s int) {
+	s = 1
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Place) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint64(o, z.Job)
 	o = msgp.AppendString(o, z.Submission)
 	o = msgp.AppendString(o, z.Team)
 	o = msgp.AppendUint64(o, z.BudgetMicros)
+	o = msgp.AppendInt64(o, z.DeadlineUnix)
 	o = msgp.AppendBool(o, z.NotRepeatable)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
 	for za0001 := range z.Tasks {
@@ -263,8 +294,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -292,6 +323,11 @@
 		err = msgp.WrapError(err, "BudgetMicros")
 		return
 	}
+	z.DeadlineUnix, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DeadlineUnix")
+		return
+	}
 	z.NotRepeatable, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "NotRepeatable")
@@ -361,7 +397,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Place) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.StringPrefixSize + len(z.Team) + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.StringPrefixSize + len(z.Team) + msgp.Uint64Size + msgp.Int64Size + msgp.BoolSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
 		s += 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Tasks[za0001].Payload)
 	}
