load: repeat a plan and print medians with ranges

Cause: a single run says little on a shared machine; and an agent that had been idle was pinged as soon as it got a task, since it had long said nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# The commands of the project. `make test` is what CI runs.
+GO ?= go
+VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unversioned)
+
+.PHONY: build test lint dev bench baseline capacity soak random mutants fuzz docs generate
+
+build: ## build bin/lichenfall
+	$(GO) build -trimpath -ldflags "-X github.com/lichenfall/lichenfall/commands.version=$(VERSION)" -o bin/lichenfall .
+
+test: ## run all tests with the race detector; KNOWN-RED.txt is obeyed
+	scripts/test
+
+lint: ## formatter, vet and staticcheck
+	scripts/lint
+
+dev: ## run everything in one process on loopback, with stand-ins
+	$(GO) run . dev
+
+bench: ## benchmarks of the cores and the codec
+	$(GO) test -run '^$$' -bench . -benchmem ./dispatch ./queue ./claim ./wire
+
+baseline: build ## measure the path; rewrites docs/measurements/0001-baseline.md
+	scripts/baseline
+
+capacity: build ## measure the slopes; rewrites the tables of docs/CAPACITY.md
+	bin/lichenfall capacity --page docs/CAPACITY.md
+
+soak: build ## ten minutes of real processes under kills and pauses
+	bin/lichenfall soak --duration 10m
+
+random: ## 200,000 randomised cases
+	LICHENFALL_CASES=200000 $(GO) test ./dispatch -run TestRandomised -v
+
+mutants: ## break the program on purpose; every break must be caught
+	scripts/mutants
+
+fuzz: ## half a minute for each decoder
+	$(GO) test ./wire -run '^$$' -fuzz FuzzRead -fuzztime 30s
+	$(GO) test ./job -run '^$$' -fuzz FuzzDecode -fuzztime 30s
+
+docs: build ## rewrite the pages that are made from code
+	bin/lichenfall pages docs
+
+generate: ## rewrite generated code (needs nothing installed)
+	$(GO) generate ./...
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -49,7 +49,7 @@
 		},
 		Entry("an answer", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"a":1}`)) }, failure.None, failure.DidRun),
 		Entry("an error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, failure.TaskFailed, failure.DidRun),
-		Entry("a redirect, which is not followed", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", 307) }, failure.TaskFailed, failure.DidRun),
+		Entry("a redirect, which is not followed", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", http.StatusTemporaryRedirect) }, failure.TaskFailed, failure.DidRun),
 		Entry("no JSON", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{`)) }, failure.BadAnswer, failure.DidRun),
 		Entry("too much", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 101)) }, failure.AnswerTooLarge, failure.DidRun),
 		Entry("a connection closed", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, failure.BackendLost, failure.RanUnknown),
--- a/commands/load.go
+++ b/commands/load.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"sort"
 	"time"
 
 	"github.com/lichenfall/lichenfall/fakebackend"
@@ -41,6 +40,7 @@
 	Timeout    time.Duration `long:"timeout" default:"10s" description:"until a job's deadline"`
 	Resend     float64       `long:"resend" description:"share of jobs sent a second time through another entry"`
 	Seed       uint64        `long:"seed" default:"1" description:"of the random choices"`
+	Repeats    int           `long:"repeats" default:"1" description:"runs of the plan, each with the next seed; more than one gives medians and ranges"`
 	JSON       bool          `long:"json" description:"report as JSON"`
 	Quiet      bool          `long:"quiet" short:"q" description:"no progress on standard error"`
 	Agents     int           `long:"agents" default:"11" description:"of the local system"`
@@ -66,9 +66,26 @@
 		plan.Entries = cluster.URLs()
 		c.Scrape = cluster.ScrapeURLs()
 	}
-	before := c.messages(run)
-	summary := load.Run(run, plan, c.progress()).Summary()
-	return c.print(summary, c.messages(run), before)
+	var runs []load.Summary
+	for i := range c.Repeats {
+		plan.Seed = c.Seed + uint64(i)
+		runs = append(runs, c.once(run, plan))
+	}
+	return c.print(runs)
+}
+
+// once runs the plan and adds the messages sent meanwhile to its summary.
+func (c *loadCommand) once(ctx context.Context, plan load.Plan) load.Summary {
+	before := c.messages(ctx)
+	s := load.Run(ctx, plan, c.progress()).Summary()
+	if !c.Quiet {
+		fmt.Fprintln(os.Stderr)
+	}
+	s.Messages = make(map[string]float64)
+	for k, n := range c.messages(ctx) {
+		s.Messages[k] = (n - before[k]) / float64(max(1, s.Tasks))
+	}
+	return s
 }
 
 func (c *loadCommand) plan() (load.Plan, error) {
@@ -80,6 +97,9 @@
 	if err != nil {
 		return load.Plan{}, fmt.Errorf("--task-time: %w", err)
 	}
+	if c.Repeats < 1 {
+		return load.Plan{}, fmt.Errorf("--repeats: must be at least 1")
+	}
 	if c.Rate <= 0 {
 		return load.Plan{}, fmt.Errorf("--rate: must be above 0")
 	}
@@ -141,25 +161,16 @@
 	return sum
 }
 
-func (c *loadCommand) print(s load.Summary, after, before map[string]float64) error {
-	if !c.Quiet {
-		fmt.Fprintln(os.Stderr)
-	}
-	s.Messages = make(map[string]float64)
-	for k, n := range after {
-		s.Messages[k] = (n - before[k]) / float64(max(1, s.Tasks))
-	}
-	if c.JSON {
-		return s.WriteJSON(os.Stdout)
-	}
-	s.WriteText(os.Stdout)
-	kinds := make([]string, 0, len(s.Messages))
-	for k := range s.Messages {
-		kinds = append(kinds, k)
-	}
-	sort.Strings(kinds)
-	for _, k := range kinds {
-		fmt.Printf("%-22s %10.4f\n", "messages/task "+k, s.Messages[k])
+func (c *loadCommand) print(runs []load.Summary) error {
+	switch {
+	case c.JSON && len(runs) == 1:
+		return runs[0].WriteJSON(os.Stdout)
+	case c.JSON:
+		return printJSON(runs)
+	case len(runs) > 1:
+		load.WriteSpreads(os.Stdout, runs)
+		return nil
 	}
+	runs[0].WriteText(os.Stdout)
 	return nil
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -51,6 +51,7 @@
 // sendTasks sends tasks that are counted as placed at the agent already.
 func (c *Core) sendTasks(now time.Time, r *record, agent string, indexes []int) {
 	c.count.Placed(len(indexes))
+	c.awaitWord(now, agent, len(indexes))
 	var m *wire.Place
 	size := 0
 	for _, i := range indexes {
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// awaitWord notes that n tasks go to the agent. If it held none, nothing could
+// be heard of it before, and its time to answer begins now.
+func (c *Core) awaitWord(now time.Time, agent string, n int) {
+	if a := c.agents.Agent(agent); a != nil && a.Outstanding <= n {
+		c.peers[agent].heard = now
+	}
+}
+
 // markSilent takes the peer out of use until it is heard. An entry to which too
 // many agents seem silent at once suspects itself instead, and goes on placing
 // tasks at all of them.
--- a/load/report.go
+++ b/load/report.go
@@ -171,6 +171,9 @@
 	writeQuantiles(w, "latency ms", s.LatencyMS)
 	writeQuantiles(w, "over ideal ms", s.OverMS)
 	writeQuantiles(w, "ratio to ideal", s.Ratio)
+	for _, k := range messageKinds([]Summary{s}) {
+		fmt.Fprintf(w, "messages/task %-12s %.4f\n", k, s.Messages[k])
+	}
 }
 
 func writeQuantiles(w io.Writer, name string, q Quantiles) {
