--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	bin/lichenfall capacity --page docs/CAPACITY.md
 
 soak: build ## ten minutes of real processes under kills and pauses
-	bin/lichenfall soak --duration 10m
+	$(GO) test -tags soak ./soak -run TestSoak -v -count=1 -timeout 30m -args -soak.duration 10m
 
 random: ## 200,000 randomised cases
 	LICHENFALL_CASES=200000 $(GO) test ./dispatch -run TestRandomised -v
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,238 @@
+package dispatch_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/claim"
+	"github.com/lichenfall/lichenfall/dispatch"
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/job"
+	"github.com/lichenfall/lichenfall/retry"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatch")
+}
+
+// fixture is a core with agents a, b, c of which a holds all claims.
+type fixture struct {
+	core *dispatch.Core
+	seen *tally
+	now  time.Time
+	n    int
+}
+
+func newFixture(change func(*dispatch.Settings)) *fixture {
+	f := &fixture{seen: &tally{counts: make(map[string]int)}, now: time.Unix(1_800_000_000, 0)}
+	s := dispatch.Settings{
+		Self: claim.Owner{Address: "e", Incarnation: "i"}, Holders: []string{"a"}, Teams: []string{"t"}, Pools: []string{"p"},
+		MaxTasks: 1000, MaxClaims: 10, ClaimWait: 100 * time.Millisecond, FetchWait: 100 * time.Millisecond, Grace: 10 * time.Millisecond,
+		PingAfter: 200 * time.Millisecond, PingWait: 200 * time.Millisecond, SilentShare: 0.4,
+		Attempts: 3, RetryRatio: 0, RetryBurst: 2, Backoff: retry.Backoff{Base: time.Millisecond, Max: time.Millisecond},
+		KeepAnswers: 10, KeepBytes: 1000, KeepFor: time.Minute, MaxFetched: 1000,
+	}
+	if change != nil {
+		change(&s)
+	}
+	f.core = dispatch.New(s, f.seen, rand.New(rand.NewPCG(1, 1)))
+	for _, a := range []string{"a", "b", "c"} {
+		f.core.PeerUp(f.now, a, &wire.Hello{Role: wire.RoleAgent, Pool: "p", Slots: 8})
+	}
+	return f
+}
+
+func (f *fixture) submission(tasks int) *job.Submission {
+	f.n++
+	id := fmt.Sprintf("s%d@%d", f.n, f.now.UnixMilli())
+	s := &job.Submission{ID: id, Team: "t", Pool: "p", Deadline: f.now.Add(time.Minute), Digest: sha256.Sum256([]byte(id))}
+	for range tasks {
+		s.Payloads = append(s.Payloads, []byte("1"))
+	}
+	return s
+}
+
+// granted submits and has the claim granted; it returns what is placed where.
+func (f *fixture) granted(caller uint64, s *job.Submission) map[string]*wire.Place {
+	GinkgoHelper()
+	f.core.Submit(f.now, caller, s)
+	out := f.core.Take()
+	Expect(out.Sends).To(HaveLen(1))
+	m := out.Sends[0].Message.(*wire.Claim)
+	f.core.Message(f.now, "a", &wire.ClaimReply{Seq: m.Seq, Verdict: uint8(claim.Granted), Owner: "e", OwnerIncarnation: "i", GrantSeq: m.Seq})
+	return places(f.core.Take())
+}
+
+func places(out dispatch.Effects) map[string]*wire.Place {
+	at := make(map[string]*wire.Place)
+	for _, s := range out.Sends {
+		if m, ok := s.Message.(*wire.Place); ok {
+			at[s.Peer] = m
+		}
+	}
+	return at
+}
+
+func refusal(m *wire.Place, k failure.Kind) *wire.Results {
+	r := &wire.Results{}
+	for _, t := range m.Tasks {
+		r.Items = append(r.Items, wire.Result{Job: m.Job, Index: t.Index, Attempt: t.Attempt, Kind: uint8(k), Ran: uint8(k.Row().Ran)})
+	}
+	return r
+}
+
+func (f *fixture) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.core.Tick(f.now)
+	}
+}
+
+func sent[M wire.Message](out dispatch.Effects) (peers []string) {
+	for _, s := range out.Sends {
+		if _, ok := s.Message.(M); ok {
+			peers = append(peers, s.Peer)
+		}
+	}
+	return peers
+}
+
+var _ = Describe("retries of what did not run", func() {
+	It("go to other agents, and end with the attempts", func() {
+		f := newFixture(nil)
+		at := f.granted(1, f.submission(1))
+		var tried []string
+		for range 3 {
+			Expect(at).To(HaveLen(1))
+			for agent, m := range at {
+				tried = append(tried, agent)
+				f.core.Message(f.now, agent, refusal(m, failure.QueueFull))
+			}
+			f.pass(20 * time.Millisecond)
+			out := f.core.Take()
+			at = places(out)
+			if len(tried) == 3 {
+				Expect(out.Deliveries).To(HaveLen(1))
+				Expect(out.Deliveries[0].Answer.Error.Kind).To(Equal("queue_full"))
+				Expect(out.Deliveries[0].Answer.Error.Ran).To(Equal("not run"))
+				Expect(out.Deliveries[0].Answer.Error.RetryAfterMS).To(BeNumerically(">", 0))
+			}
+		}
+		Expect(tried).To(ConsistOf("a", "b", "c"))
+	})
+
+	It("are bounded by the retry budget (hazard 17)", func() {
+		f := newFixture(nil)
+		at := f.granted(1, f.submission(9))
+		for agent, m := range at {
+			f.core.Message(f.now, agent, refusal(m, failure.QueueFull))
+		}
+		out := f.core.Take()
+		Expect(out.Deliveries).To(HaveLen(1))
+		Expect(out.Deliveries[0].Answer.Error.Kind).To(Equal("overloaded"))
+		Expect(f.seen.counts["retry: queue_full"]).To(Equal(2))
+	})
+
+	It("are not made for what may have run", func() {
+		f := newFixture(nil)
+		for agent, m := range f.granted(1, f.submission(1)) {
+			f.core.Message(f.now, agent, refusal(m, failure.BackendLost))
+		}
+		out := f.core.Take()
+		Expect(places(out)).To(BeEmpty())
+		Expect(out.Deliveries[0].Answer.Error.Kind).To(Equal("backend_lost"))
+		Expect(out.Deliveries[0].Answer.Error.Ran).To(Equal("unknown"))
+	})
+})
+
+var _ = Describe("a silent agent (hazard 27)", func() {
+	It("is pinged, gets nothing more, and is back when it is heard", func() {
+		f := newFixture(nil)
+		f.granted(1, f.submission(3))
+		f.core.Message(f.now, "a", &wire.Results{})
+		f.core.Message(f.now, "b", &wire.Results{})
+		f.pass(210 * time.Millisecond)
+		Expect(sent[*wire.Ping](f.core.Take())).To(ConsistOf("a", "b", "c"))
+		f.core.Message(f.now, "a", &wire.Results{})
+		f.core.Message(f.now, "b", &wire.Results{})
+		f.pass(150 * time.Millisecond)
+		f.core.Message(f.now, "a", &wire.Results{})
+		f.core.Message(f.now, "b", &wire.Results{})
+		f.pass(100 * time.Millisecond)
+		f.core.Take()
+		Expect(f.seen.counts["suspected: agent"]).To(Equal(1))
+		Expect(f.granted(2, f.submission(4))).NotTo(HaveKey("c"))
+		f.core.Message(f.now, "c", &wire.Results{})
+		Expect(f.granted(3, f.submission(4))).To(HaveKey("c"))
+	})
+
+	It("is not believed in when too many seem silent: the entry suspects itself (hazard 28)", func() {
+		f := newFixture(nil)
+		f.granted(1, f.submission(3))
+		f.pass(500 * time.Millisecond)
+		Expect(f.seen.counts["suspected: agent"]).To(Equal(1))
+		Expect(f.seen.counts["suspected: self"]).To(Equal(2))
+	})
+
+	It("is excused when it was the entry that stood still", func() {
+		f := newFixture(nil)
+		f.granted(1, f.submission(3))
+		f.pass(210 * time.Millisecond)
+		f.now = f.now.Add(10 * time.Second)
+		f.core.Tick(f.now)
+		f.pass(100 * time.Millisecond)
+		Expect(f.seen.counts["suspected: agent"]).To(BeZero())
+	})
+
+	It("that holds a claim refuses it at once, and a resend goes on from there", func() {
+		f := newFixture(nil)
+		s := f.submission(1)
+		f.core.Submit(f.now, 1, s)
+		m := f.core.Take().Sends[0].Message.(*wire.Claim)
+		f.pass(110 * time.Millisecond)
+		out := f.core.Take()
+		Expect(out.Deliveries[0].Answer.Error.Kind).To(Equal("claim_unavailable"))
+		Expect(out.Deliveries[0].Answer.Error.Ran).To(Equal("unknown"))
+		f.core.Submit(f.now, 2, f.submission(1))
+		out = f.core.Take()
+		Expect(out.Deliveries[0].Answer.Error.Kind).To(Equal("claim_unavailable"))
+		Expect(sent[*wire.Claim](out)).To(Equal([]string{"a"}), "a probe")
+
+		f.core.Message(f.now, "a", &wire.ClaimReply{Seq: m.Seq, Verdict: uint8(claim.Granted), Owner: "e", OwnerIncarnation: "i", GrantSeq: m.Seq})
+		Expect(places(f.core.Take())).To(BeEmpty(), "a grant that came too late starts nothing")
+		again := *s
+		again.Payloads = [][]byte{[]byte("1")}
+		f.core.Submit(f.now, 3, &again)
+		m2 := f.core.Take().Sends[0].Message.(*wire.Claim)
+		f.core.Message(f.now, "a", &wire.ClaimReply{Seq: m2.Seq, Verdict: uint8(claim.Held), Owner: "e", OwnerIncarnation: "i", GrantSeq: m.Seq})
+		Expect(places(f.core.Take())).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("answers kept for resends (hazard 10)", func() {
+	It("are bounded in number, and what is forgotten is not started again", func() {
+		f := newFixture(func(s *dispatch.Settings) { s.KeepAnswers = 1 })
+		first := f.submission(1)
+		for n, s := range []*job.Submission{first, f.submission(1)} {
+			for agent, m := range f.granted(uint64(n), s) {
+				f.core.Message(f.now, agent, &wire.Results{Items: []wire.Result{{Job: m.Job, Attempt: 1, Body: []byte("7")}}})
+			}
+		}
+		f.core.Take()
+		again := *first
+		f.core.Submit(f.now, 9, &again)
+		m := f.core.Take().Sends[0].Message.(*wire.Claim)
+		f.core.Message(f.now, "a", &wire.ClaimReply{Seq: m.Seq, Verdict: uint8(claim.Held), Owner: "e", OwnerIncarnation: "i", GrantSeq: 1})
+		out := f.core.Take()
+		Expect(places(out)).To(BeEmpty())
+		Expect(out.Deliveries[0].Answer.Error.Kind).To(Equal("outcome_unknown"))
+	})
+})
--- a/entry/control.go
+++ b/entry/control.go
@@ -6,8 +6,8 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/job"
+	"github.com/lichenfall/lichenfall/membership"
 	"github.com/lichenfall/lichenfall/peer"
-	"github.com/lichenfall/lichenfall/platform"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -38,7 +38,7 @@
 	answer  chan *job.Answer
 	sub     *job.Submission
 	id      string
-	boxes   platform.BoxList
+	boxes   membership.BoxList
 	state   chan State
 	count   int
 	ids     chan []string
--- a/entry/links.go
+++ b/entry/links.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lichenfall/lichenfall/membership"
 	"github.com/lichenfall/lichenfall/peer"
-	"github.com/lichenfall/lichenfall/platform"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -109,7 +109,7 @@
 	}
 }
 
-func (e *Entry) takeBoxes(now time.Time, list platform.BoxList) {
+func (e *Entry) takeBoxes(now time.Time, list membership.BoxList) {
 	change, ok := e.view.Apply(now, list)
 	if !ok {
 		e.log.Warn("box list passed over", zap.Uint64("version", list.Version), zap.Int("boxes", len(list.Boxes)))
--- a/fakeplatform/platform.go
+++ b/fakeplatform/platform.go
@@ -17,6 +17,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
+	"github.com/lichenfall/lichenfall/membership"
 	"github.com/lichenfall/lichenfall/platform"
 	"github.com/lichenfall/lichenfall/web"
 )
@@ -57,7 +58,7 @@
 
 type listed struct {
 	at   time.Time
-	list platform.BoxList
+	list membership.BoxList
 }
 
 const (
@@ -107,14 +108,14 @@
 }
 
 // SetBoxes changes the box list; it shows after the lag.
-func (p *Platform) SetBoxes(boxes []platform.Box) {
+func (p *Platform) SetBoxes(boxes []membership.Box) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	version := uint64(1)
 	if n := len(p.lists); n > 0 {
 		version = p.lists[n-1].list.Version + 1
 	}
-	p.lists = append(p.lists, listed{time.Now(), platform.BoxList{Version: version, Boxes: boxes}})
+	p.lists = append(p.lists, listed{time.Now(), membership.BoxList{Version: version, Boxes: boxes}})
 }
 
 // guard applies outage and delay to a call.
@@ -211,7 +212,7 @@
 }
 
 // visible returns the newest list that is older than the lag.
-func (p *Platform) visible(now time.Time) platform.BoxList {
+func (p *Platform) visible(now time.Time) membership.BoxList {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lag := time.Duration(p.faults.ListLagMS * float64(time.Millisecond))
@@ -220,7 +221,7 @@
 			return p.lists[i].list
 		}
 	}
-	return platform.BoxList{}
+	return membership.BoxList{}
 }
 
 func (p *Platform) postFaults(c echo.Context) error {
@@ -233,7 +234,7 @@
 }
 
 func (p *Platform) postBoxes(c echo.Context) error {
-	var boxes []platform.Box
+	var boxes []membership.Box
 	if err := json.NewDecoder(c.Request().Body).Decode(&boxes); err != nil {
 		return c.String(http.StatusBadRequest, err.Error()+"\n")
 	}
--- /dev/null
+++ b/layout_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const module = "github.com/lichenfall/lichenfall/"
+
+// cores are the packages without I/O, and the packages of ours that each may
+// import; see docs/ARCHITECTURE.md.
+var cores = map[string][]string{
+	"failure":    {},
+	"retry":      {},
+	"wire":       {},
+	"claim":      {"wire"},
+	"job":        {"claim", "failure"},
+	"placement":  {"wire"},
+	"queue":      {"failure", "wire"},
+	"membership": {},
+	"dispatch":   {"claim", "failure", "job", "placement", "retry", "wire"},
+}
+
+var ioPackages = []string{"net", "os", "os/exec", "os/signal", "io/fs", "syscall", "net/netip"}
+
+// users of the stand-ins and of whole local systems.
+var mayUseFakes = []string{"local", "commands", "capacity"}
+
+func TestLayout(t *testing.T) {
+	walk(t, func(file, pkg string, imports []string) {
+		for _, path := range imports {
+			ours, isOurs := strings.CutPrefix(path, module)
+			allowed, isCore := cores[pkg]
+			switch {
+			case isCore && isOurs && !slices.Contains(allowed, ours):
+				t.Errorf("%s: core %s may not import %s", file, pkg, ours)
+			case isCore && slices.Contains(ioPackages, path):
+				t.Errorf("%s: core %s does I/O by %s", file, pkg, path)
+			case path == "os/exec":
+				t.Errorf("%s: starts processes", file)
+			case strings.HasPrefix(ours, "fake") && isOurs && !slices.Contains(mayUseFakes, pkg):
+				t.Errorf("%s: uses a stand-in", file)
+			}
+		}
+	})
+}
+
+// walk calls f for each file of code that is no test.
+func walk(t *testing.T, f func(file, pkg string, imports []string)) {
+	seen := make(map[string]bool)
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		var imports []string
+		for _, i := range parsed.Imports {
+			name, err := strconv.Unquote(i.Path.Value)
+			if err != nil {
+				return err
+			}
+			imports = append(imports, name)
+		}
+		pkg := filepath.ToSlash(filepath.Dir(path))
+		seen[pkg] = true
+		f(path, pkg, imports)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for pkg := range cores {
+		if !seen[pkg] {
+			t.Errorf("there is no package %s", pkg)
+		}
+	}
+}
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -14,7 +14,7 @@
 	"github.com/lichenfall/lichenfall/fakebackend"
 	"github.com/lichenfall/lichenfall/fakeplatform"
 	"github.com/lichenfall/lichenfall/logging"
-	"github.com/lichenfall/lichenfall/platform"
+	"github.com/lichenfall/lichenfall/membership"
 	"github.com/lichenfall/lichenfall/ports"
 )
 
@@ -49,7 +49,7 @@
 
 	opts    Options
 	holders []string
-	boxes   []platform.Box
+	boxes   []membership.Box
 }
 
 // Start starts everything and waits until the entries are ready and IDs made
@@ -101,12 +101,12 @@
 		return err
 	}
 	c.Agents = append(c.Agents, a)
-	c.boxes = append(c.boxes, platform.Box{
+	c.boxes = append(c.boxes, membership.Box{
 		Name:       fmt.Sprintf("agent-%d", i),
 		Address:    c.holders[i],
 		DataCentre: c.dataCentre(i),
 		Rack:       fmt.Sprintf("rack-%d", i/racks),
-		State:      platform.Live,
+		State:      membership.Live,
 	})
 	return nil
 }
--- a/local/local_test.go
+++ b/local/local_test.go
@@ -22,7 +22,7 @@
 	"github.com/lichenfall/lichenfall/job"
 	"github.com/lichenfall/lichenfall/local"
 	"github.com/lichenfall/lichenfall/logging"
-	"github.com/lichenfall/lichenfall/platform"
+	"github.com/lichenfall/lichenfall/membership"
 )
 
 // These tests run whole systems on loopback. Their waits are bounds that a slow
@@ -278,11 +278,11 @@
 		s := start(1, 3, func(o *local.Options) {
 			o.Entry = func(c *config.Entry) { c.Platform.Poll = config.Duration(50 * time.Millisecond) }
 		})
-		boxes := make([]platform.Box, 3)
+		boxes := make([]membership.Box, 3)
 		for i := range boxes {
-			boxes[i] = platform.Box{Name: fmt.Sprint(i), Address: s.Agents[i].Addr(), State: platform.Live}
+			boxes[i] = membership.Box{Name: fmt.Sprint(i), Address: s.Agents[i].Addr(), State: membership.Live}
 		}
-		boxes[0].State = platform.Leaving
+		boxes[0].State = membership.Leaving
 		s.Platform.SetBoxes(boxes)
 		leaving := func() bool {
 			var state struct {
--- a/membership/view.go
+++ b/membership/view.go
@@ -5,8 +5,6 @@
 
 import (
 	"time"
-
-	"github.com/lichenfall/lichenfall/platform"
 )
 
 // Change is what follows from a reading of the box list.
@@ -68,7 +66,7 @@
 
 // Apply takes a reading of the list; ok is false when it is passed over
 // because it is older than the last one or empty.
-func (v *View) Apply(now time.Time, l platform.BoxList) (c Change, ok bool) {
+func (v *View) Apply(now time.Time, l BoxList) (c Change, ok bool) {
 	if l.Version < v.version || len(l.Boxes) == 0 {
 		return Change{}, false
 	}
@@ -87,7 +85,7 @@
 	return c, true
 }
 
-func (v *View) take(c *Change, b platform.Box) {
+func (v *View) take(c *Change, b Box) {
 	m := v.known[b.Address]
 	if m == nil {
 		m = &member{}
@@ -95,13 +93,13 @@
 		c.Dial = append(c.Dial, b.Address)
 	}
 	m.listed = true
-	if b.State == platform.Leaving && !m.leaving {
+	if b.State == Leaving && !m.leaving {
 		c.Leave = append(c.Leave, b.Address)
 	}
-	if b.State != platform.Leaving && m.leaving {
+	if b.State != Leaving && m.leaving {
 		c.Stay = append(c.Stay, b.Address)
 	}
-	m.leaving = b.State == platform.Leaving
+	m.leaving = b.State == Leaving
 }
 
 // LeavingListed returns whether the newest list calls the agent leaving.
--- /dev/null
+++ b/membership/view_test.go
@@ -0,0 +1,73 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/membership"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+var _ = Describe("an entry's view of the agents (hazard 24)", func() {
+	const absent = 30 * time.Second
+	var v *membership.View
+	now := time.Unix(1_800_000_000, 0)
+	list := func(version uint64, boxes ...membership.Box) membership.BoxList {
+		return membership.BoxList{Version: version, Boxes: boxes}
+	}
+	live := func(a string) membership.Box { return membership.Box{Address: a, State: membership.Live} }
+	leaving := func(a string) membership.Box { return membership.Box{Address: a, State: membership.Leaving} }
+	BeforeEach(func() { v = membership.New([]string{"fixed"}, absent) })
+
+	It("dials what the list names and settings do not", func() {
+		c, ok := v.Apply(now, list(1, live("fixed"), live("new")))
+		Expect(ok).To(BeTrue())
+		Expect(c.Dial).To(ConsistOf("new"))
+		Expect(v.Known()).To(ConsistOf("fixed", "new"))
+	})
+
+	It("passes over a list that is older or empty", func() {
+		_, ok := v.Apply(now, list(5, live("a")))
+		Expect(ok).To(BeTrue())
+		_, ok = v.Apply(now, list(4, leaving("a")))
+		Expect(ok).To(BeFalse())
+		_, ok = v.Apply(now, list(6))
+		Expect(ok).To(BeFalse())
+		Expect(v.Version()).To(Equal(uint64(5)))
+		Expect(v.LeavingListed("a")).To(BeFalse())
+	})
+
+	It("says once that a box leaves, and once that it stays after all", func() {
+		_, _ = v.Apply(now, list(1, live("a")))
+		c, _ := v.Apply(now, list(2, leaving("a")))
+		Expect(c.Leave).To(ConsistOf("a"))
+		c, _ = v.Apply(now, list(3, leaving("a")))
+		Expect(c.Leave).To(BeEmpty())
+		c, _ = v.Apply(now, list(4, live("a")))
+		Expect(c.Stay).To(ConsistOf("a"))
+	})
+
+	It("keeps a box that the list loses while it is connected, or only for a reading", func() {
+		_, _ = v.Apply(now, list(1, live("a"), live("b")))
+		v.Connected(now, "a", true)
+		_, _ = v.Apply(now, list(2, live("c")))
+		Expect(v.Expire(now.Add(absent - time.Second)).Drop).To(BeEmpty())
+		_, _ = v.Apply(now.Add(absent), list(3, live("b"), live("c")))
+		Expect(v.Expire(now.Add(2 * absent)).Drop).To(BeEmpty())
+		v.Connected(now.Add(2*absent), "a", false)
+		Expect(v.Expire(now.Add(3 * absent)).Drop).To(ConsistOf("a"))
+	})
+
+	It("never drops what its settings name", func() {
+		_, _ = v.Apply(now, list(1, live("a")))
+		Expect(v.Expire(now.Add(time.Hour)).Drop).To(BeEmpty())
+		Expect(v.Known()).To(ContainElement("fixed"))
+	})
+})
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,76 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/placement"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+func newSet(choices, agents int) *placement.Set {
+	s := placement.New(placement.Policy{Choices: choices}, rand.New(rand.NewPCG(1, 1)))
+	for i := range agents {
+		s.Add(&placement.Agent{ID: fmt.Sprint(i), Pool: "p", Slots: 8})
+	}
+	return s
+}
+
+func spread(s *placement.Set, n int) (least, most int) {
+	for range n {
+		s.Pick("p", nil)
+	}
+	least = n
+	for _, a := range s.All() {
+		least, most = min(least, a.Outstanding), max(most, a.Outstanding)
+	}
+	return least, most
+}
+
+var _ = Describe("placement", func() {
+	It("spreads a job evenly when it looks at all agents", func() {
+		least, most := spread(newSet(0, 11), 110)
+		Expect(least).To(Equal(10))
+		Expect(most).To(Equal(10))
+	})
+
+	It("spreads better by two choices than at random", func() {
+		_, random := spread(newSet(1, 50), 1000)
+		_, two := spread(newSet(2, 50), 1000)
+		Expect(two).To(BeNumerically("<", random))
+	})
+
+	It("adds other entries' tasks to its own, and not its own twice", func() {
+		s := newSet(0, 2)
+		s.Report("0", wire.Load{Queued: 2, Running: 8, Mine: 4, Slots: 8})
+		for range 6 {
+			Expect(s.Pick("p", nil).ID).To(Equal("1"))
+		}
+		Expect(s.Agent("1").Outstanding).To(Equal(6))
+		s.Return("1", 6)
+		Expect(s.Agent("1").Outstanding).To(BeZero())
+	})
+
+	It("avoids agents that leave, are silent, or have refused the task", func() {
+		s := newSet(2, 4)
+		s.Report("0", wire.Load{Leaving: true})
+		s.Agent("1").Silent = true
+		for range 20 {
+			Expect(s.Pick("p", []string{"2"}).ID).To(Equal("3"))
+		}
+		Expect(s.Pick("p", []string{"2", "3"})).To(BeNil())
+		Expect(s.Pick("other", nil)).To(BeNil())
+		s.Remove("3")
+		Expect(s.Pick("p", []string{"2"})).To(BeNil())
+		Expect(s.All()).To(HaveLen(3))
+	})
+})
