--- a/agent/admin.go
+++ b/agent/admin.go
@@ -6,6 +6,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/lichenfall/lichenfall/backend"
 	"github.com/lichenfall/lichenfall/web"
 )
 
@@ -22,6 +23,8 @@
 	Links       int       `json:"links"`        // connected entries
 	Claims      int       `json:"claims"`       // remembered
 	ClaimsSince time.Time `json:"claims_since"` // IDs made before are unknown
+
+	Usage backend.Usage `json:"usage"` // of the backend server, with its lag
 }
 
 type adminServer struct {
@@ -79,6 +82,7 @@
 		Links:       len(a.links),
 		Claims:      claims,
 		ClaimsSince: a.claims.Since(),
+		Usage:       a.usage,
 	}
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,24 +51,26 @@
 	told   map[queue.Link]bool // entries that know we leave, and will place no more
 	byConn map[*peer.Conn]queue.Link
 	last   queue.Link
+	usage  backend.Usage
 	stop   bool
 }
 
 // Start starts an agent. It listens before it returns.
 func Start(cfg *config.Agent, log *logging.Log) (*Agent, error) {
 	registry := metrics.New("agent")
+	count := metrics.NewAgent(registry.Scope)
 	a := &Agent{
 		cfg:         cfg,
 		log:         log,
 		incarnation: uuid.NewString(),
 		assignment:  claim.Assignment(cfg.Claims.Holders),
 		registry:    registry,
-		count:       metrics.NewAgent(registry.Scope),
+		count:       count,
 		backend:     backend.New(backendSettings(cfg)),
 		events:      make(chan event, eventBacklog),
 		done:        make(chan struct{}),
 		stopped:     make(chan struct{}),
-		queue:       queue.New(queueLimits(cfg)),
+		queue:       queue.New(queueLimits(cfg), asserter{count, log}),
 		claims: claim.Holder{
 			Table:      claim.New(time.Now(), claimLimits(cfg)),
 			Assignment: claim.Assignment(cfg.Claims.Holders),
@@ -85,12 +87,25 @@
 	}
 	a.listener.Serve(a.hello, a)
 	go a.control()
+	go a.pollUsage()
 	log.Info("agent started",
 		zap.String("peers", a.Addr()), zap.String("admin", a.AdminAddr()),
 		zap.String("incarnation", a.incarnation), zap.String("backend", cfg.Backend.URL))
 	return a, nil
 }
 
+// asserter counts and logs broken promises.
+type asserter struct {
+	count *metrics.Agent
+	log   *logging.Log
+}
+
+// Violated is called by the queue.
+func (a asserter) Violated(promise string) {
+	a.count.Violated(promise)
+	a.log.Error("a promise is broken", zap.String("promise", promise))
+}
+
 func (a *Agent) listen() error {
 	opts := peer.Options{
 		MaxFrame:   a.cfg.Peers.MaxFrame,
--- a/agent/control.go
+++ b/agent/control.go
@@ -1,10 +1,12 @@
 package agent
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/lichenfall/lichenfall/backend"
 	"github.com/lichenfall/lichenfall/claim"
 	"github.com/lichenfall/lichenfall/failure"
 	"github.com/lichenfall/lichenfall/peer"
@@ -21,6 +23,7 @@
 	evFinished
 	evStop
 	evState
+	evUsage
 	evLeave
 )
 
@@ -33,6 +36,7 @@
 	task    *queue.Task
 	outcome queue.Outcome
 	state   chan State
+	usage   backend.Usage
 }
 
 // Up is called when an entry has connected.
@@ -102,6 +106,9 @@
 	case evLeave:
 		a.queue.Leave()
 		a.announce()
+	case evUsage:
+		a.usage = e.usage
+		a.count.Usage(e.usage.Cores, e.usage.MemoryBytes)
 	case evState:
 		e.state <- a.state(now)
 	}
@@ -270,3 +277,24 @@
 func (a *Agent) sendLoad(link queue.Link) {
 	a.send(link, &wire.Results{Load: a.queue.Load(link)})
 }
+
+// pollUsage reads the backend server's usage reports, which stay on this box.
+func (a *Agent) pollUsage() {
+	tick := time.NewTicker(a.cfg.Backend.UsagePoll.D())
+	defer tick.Stop()
+	for {
+		select {
+		case <-a.halt.Done():
+			return
+		case <-tick.C:
+		}
+		ctx, cancel := context.WithTimeout(a.halt, a.cfg.Backend.UsagePoll.D())
+		u, err := a.backend.Usage(ctx)
+		cancel()
+		if err != nil {
+			a.log.Debug("usage not read", zap.Error(err))
+			continue
+		}
+		a.post(event{kind: evUsage, usage: u})
+	}
+}
--- a/backend/client.go
+++ b/backend/client.go
@@ -30,6 +30,10 @@
 	HeaderTask          = "Lichenfall-Task"
 	HeaderTeam          = "Lichenfall-Team"
 	HeaderNotRepeatable = "Lichenfall-Not-Repeatable"
+	// HeaderLease is the lease under which the backend server runs the task:
+	// the milliseconds after which it must stop it. It ends with the task's
+	// deadline; closing the connection ends it sooner.
+	HeaderLease = "Lichenfall-Lease-Ms"
 )
 
 // Path is where a backend server takes tasks: a POST with the payload as its
@@ -93,7 +97,11 @@
 		return sent.outcome(err)
 	}
 	defer resp.Body.Close()
-	return c.read(resp)
+	o := c.read(resp)
+	if o.Kind != failure.None && !time.Now().Before(t.Deadline) {
+		o.Kind = failure.DeadlineWhileRunning // what went wrong is that its lease lapsed
+	}
+	return o
 }
 
 func (c *Client) request(ctx context.Context, t *queue.Task) (*http.Request, error) {
@@ -107,6 +115,9 @@
 	req.Header.Set(HeaderSubmission, t.Submission)
 	req.Header.Set(HeaderTask, strconv.FormatUint(uint64(t.Index), 10))
 	req.Header.Set(HeaderTeam, t.Team)
+	// Rounded up, so that the lease never lapses before the deadline.
+	lease := max(0, time.Until(t.Deadline)) + time.Millisecond
+	req.Header.Set(HeaderLease, strconv.FormatInt(lease.Milliseconds(), 10))
 	if t.NotRepeatable {
 		req.Header.Set(HeaderNotRepeatable, "true")
 	}
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -73,6 +74,16 @@
 		Expect(o.Ran).To(Equal(failure.RanUnknown))
 	})
 
+	It("runs under a lease that ends with its deadline", func() {
+		lease := make(chan string, 1)
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			lease <- r.Header.Get(backend.HeaderLease)
+			_, _ = w.Write([]byte(`1`))
+		})
+		Expect(run(url, 10*time.Second).Kind).To(Equal(failure.None))
+		Expect(strconv.Atoi(<-lease)).To(And(BeNumerically(">", 0), BeNumerically("<=", 10000)))
+	})
+
 	// Go's transport replays a request on a connection that was reused and then
 	// closed, if it thinks that it may. Ours must reach the server once (hazard 7).
 	It("is never sent a second time on another connection", func() {
--- a/capacity/cores.go
+++ b/capacity/cores.go
@@ -64,7 +64,7 @@
 // pastTaskMemory measures the bytes for each past task that an agent remembers.
 func pastTaskMemory() Slope {
 	return memory([]int{20000, 50000, 100000}, func(n int) any {
-		q := queue.New(queue.Limits{Slots: 8, Queue: 100, Remember: n, Window: time.Hour})
+		q := queue.New(queue.Limits{Slots: 8, Queue: 100, Remember: n, Window: time.Hour}, quiet{})
 		for i := range n {
 			runTask(q, i)
 		}
@@ -87,7 +87,7 @@
 // agentCore measures the processor seconds of an agent's core for a task.
 func agentCore() Slope {
 	return timed([]int{20000, 50000, 100000}, func(n int) {
-		q := queue.New(queue.Limits{Slots: 8, Queue: 100, Remember: 50000, Window: time.Hour})
+		q := queue.New(queue.Limits{Slots: 8, Queue: 100, Remember: 50000, Window: time.Hour}, quiet{})
 		for i := range n {
 			runTask(q, i)
 		}
@@ -112,15 +112,15 @@
 // quiet is a dispatch.Counter that counts nothing.
 type quiet struct{}
 
-func (quiet) Answered(failure.Kind) {}
-func (quiet) Refused(failure.Kind)  {}
-func (quiet) Retried(failure.Kind)  {}
-func (quiet) Claimed(claim.Verdict) {}
-func (quiet) Dropped(string)        {}
-func (quiet) Violated(string)       {}
-func (quiet) Resent(string)         {}
-func (quiet) Placed(int)            {}
-func (quiet) Suspected(string)      {}
+func (quiet) Answered(failure.Kind)                {}
+func (quiet) Refused(failure.Kind)                 {}
+func (quiet) Retried(failure.Kind)                 {}
+func (quiet) Claimed(claim.Verdict, time.Duration) {}
+func (quiet) Dropped(string)                       {}
+func (quiet) Violated(string)                      {}
+func (quiet) Resent(string)                        {}
+func (quiet) Placed(int)                           {}
+func (quiet) Suspected(string)                     {}
 
 // newEntry returns an entry's core connected to agents.
 func newEntry(agents int) *dispatch.Core {
--- a/config/backend.go
+++ b/config/backend.go
@@ -11,6 +11,7 @@
 	Queue       int      `json:"queue"`       // tasks waiting for a slot
 	MaxAnswer   int64    `json:"max_answer"`  // bytes of one answer
 	DialTimeout Duration `json:"dial_timeout"`
+	UsagePoll   Duration `json:"usage_poll"`   // between readings of its usage reports
 	StopTimeout Duration `json:"stop_timeout"` // for tasks in flight at a planned stop
 }
 
@@ -23,6 +24,7 @@
 		Queue:       256,
 		MaxAnswer:   256 << 10,
 		DialTimeout: Duration(time.Second),
+		UsagePoll:   Duration(time.Second),
 		StopTimeout: Duration(70 * time.Second),
 	}
 }
@@ -35,5 +37,6 @@
 	between(c, "backend.queue", b.Queue, 0, 100000)
 	between(c, "backend.max_answer", b.MaxAnswer, 16, 4<<20)
 	c.span("backend.dial_timeout", b.DialTimeout, Duration(10*time.Millisecond), Duration(10*time.Second))
+	c.span("backend.usage_poll", b.UsagePoll, Duration(100*time.Millisecond), Duration(time.Hour))
 	c.span("backend.stop_timeout", b.StopTimeout, Duration(time.Second), Duration(time.Hour))
 }
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -14,6 +14,7 @@
 type pending struct {
 	r      *record
 	peer   string
+	asked  time.Time
 	until  time.Time
 	lookup *Waiter // set when only the state is asked for
 	id     string
@@ -32,7 +33,7 @@
 		return
 	}
 	seq := c.nextSeq()
-	c.claims[seq] = &pending{r: r, peer: holder, until: now.Add(c.set.ClaimWait), id: r.sub.ID}
+	c.claims[seq] = &pending{r: r, peer: holder, asked: now, until: now.Add(c.set.ClaimWait), id: r.sub.ID}
 	c.send(holder, &wire.Claim{Seq: seq, Submission: r.sub.ID, Digest: r.sub.Digest[:], Assignment: c.digest})
 }
 
@@ -70,7 +71,7 @@
 		c.found(now, p, claim.Verdict(m.Verdict), owner)
 		return
 	}
-	c.count.Claimed(claim.Verdict(m.Verdict))
+	c.count.Claimed(claim.Verdict(m.Verdict), now.Sub(p.asked))
 	c.decide(now, p.r, owner, m)
 }
 
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -74,15 +74,15 @@
 
 // Counter counts what the core decides.
 type Counter interface {
-	Answered(k failure.Kind) // a final answer to a caller; None for a complete one
-	Refused(k failure.Kind)  // a task refused or failed by an agent
-	Retried(k failure.Kind)  // a task placed again after that
-	Claimed(v claim.Verdict) // a holder's answer
-	Dropped(reason string)   // a message that came too late or twice; one of DropReasons
-	Violated(promise string) // a promise of the program found broken; one of Promises
-	Resent(found string)     // a copy of a known submission: "running" or "answered"
-	Placed(n int)            // tasks sent to an agent
-	Suspected(who string)    // a silent "agent", or "self" when too many are
+	Answered(k failure.Kind)                     // a final answer to a caller; None for a complete one
+	Refused(k failure.Kind)                      // a task refused or failed by an agent
+	Retried(k failure.Kind)                      // a task placed again after that
+	Claimed(v claim.Verdict, took time.Duration) // a holder's answer
+	Dropped(reason string)                       // a message that came too late or twice; one of DropReasons
+	Violated(promise string)                     // a promise of the program found broken; one of Promises
+	Resent(found string)                         // a copy of a known submission: "running" or "answered"
+	Placed(n int)                                // tasks sent to an agent
+	Suspected(who string)                        // a silent "agent", or "self" when too many are
 }
 
 // The reasons for dropping a message.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/job"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -169,22 +170,28 @@
 	c.running -= len(r.job.Tasks)
 	c.rate.add(len(r.job.Tasks))
 	delete(c.jobs, r.job.Number)
-	c.checkAnswer(r)
-	c.settle(now, r, r.job.Answer())
+	c.settle(now, r, c.checked(r))
 	r.job = nil
 }
 
-// checkAnswer asserts what every answer must hold.
-func (c *Core) checkAnswer(r *record) {
+// checked asserts what every answer must hold. An answer that does not hold it
+// is not given.
+func (c *Core) checked(r *record) *job.Answer {
 	a := r.job.Answer()
+	broken := ""
 	switch {
 	case a.Submission != r.sub.ID:
-		c.count.Violated(promiseOwnAnswer)
-	case a.Error == nil && len(a.Results) != len(r.job.Tasks):
-		c.count.Violated(promiseWholeAnswer)
-	case a.Error != nil && a.Results != nil:
-		c.count.Violated(promiseWholeAnswer)
+		broken = promiseOwnAnswer
+	case a.Error == nil && len(a.Results) != len(r.job.Tasks), a.Error != nil && a.Results != nil:
+		broken = promiseWholeAnswer
+	case a.Error != nil && a.Error.Ran == failure.NotRun.String() && r.job.AnyStarted():
+		broken = promiseNotRun
 	}
+	if broken == "" {
+		return a
+	}
+	c.count.Violated(broken)
+	return refusal(r, failure.Internal, "a promise of the program is broken: "+broken, failure.RanUnknown, 0)
 }
 
 // expireJobs fails jobs whose deadline has passed without a word of the agents.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,7 +84,7 @@
 		registry.Close()
 		return nil, err
 	}
-	e.core = dispatch.New(e.coreSettings(), e.count, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	e.core = dispatch.New(e.coreSettings(), asserter{e.count, log}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for _, agent := range e.view.Known() {
 		e.dial(agent)
 	}
@@ -99,6 +99,18 @@
 	return e, nil
 }
 
+// asserter counts what the core decides, and logs broken promises.
+type asserter struct {
+	*metrics.Dispatch
+	log *logging.Log
+}
+
+// Violated is called by the core.
+func (a asserter) Violated(promise string) {
+	a.Dispatch.Violated(promise)
+	a.log.Error("a promise is broken", zap.String("promise", promise))
+}
+
 func (e *Entry) listen() error {
 	e.peerOpts = peer.Options{
 		MaxFrame:   e.cfg.Peers.MaxFrame,
--- a/fakebackend/backend.go
+++ b/fakebackend/backend.go
@@ -4,6 +4,7 @@
 package fakebackend
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -43,6 +44,7 @@
 	Listen   string        // IP number and port
 	TaskTime time.Duration // mean time of a task that names none
 	Tail     float64       // share of such tasks that take ten times as long
+	UsageLag time.Duration // of usage reports
 }
 
 // Start is one line of the journal.
@@ -63,15 +65,22 @@
 	journal []Start
 	running int
 	most    int
+	reports []backend.Usage // oldest first
 }
 
-const maxConns = 1024
+const (
+	maxConns   = 1024
+	usageGrain = 50 * time.Millisecond
+	maxReports = 1000
+	taskMemory = 16 << 20 // bytes that a task is said to use
+)
 
 // New starts a stand-in; seed makes its random choices.
 func New(s Settings, seed uint64) (*Backend, error) {
 	b := &Backend{set: s, rng: rand.New(rand.NewPCG(seed, seed))}
 	e := web.NewEcho()
 	e.POST(backend.Path, b.run)
+	e.GET(backend.UsagePath, b.usage)
 	e.POST("/admin/faults", b.setFaults)
 	e.GET("/admin/journal", func(c echo.Context) error { return c.JSON(http.StatusOK, b.Journal()) })
 	limits := web.DefaultLimits()
@@ -131,6 +140,9 @@
 	}
 	b.begin(Start{Submission: c.Request().Header.Get(backend.HeaderSubmission), Task: index, At: time.Now()})
 	defer b.end()
+	ctx, cancel := lease(c)
+	defer cancel()
+	c.SetRequest(c.Request().WithContext(ctx))
 	var p Payload
 	if json.Unmarshal(body, &p) != nil {
 		p = Payload{}
@@ -141,14 +153,52 @@
 	return b.act(c, p)
 }
 
+// lease ends the task's time with the lease that it runs under.
+func lease(c echo.Context) (context.Context, context.CancelFunc) {
+	ctx := c.Request().Context()
+	ms, err := strconv.ParseInt(c.Request().Header.Get(backend.HeaderLease), 10, 64)
+	if err != nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+}
+
+// usage reports how many tasks run, as of the lag before now.
+func (b *Backend) usage(c echo.Context) error {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(b.reports) > 1 && now.Sub(b.reports[1].At) >= b.set.UsageLag {
+		b.reports = b.reports[1:]
+	}
+	if len(b.reports) == 0 {
+		return c.JSON(http.StatusOK, backend.Usage{At: now})
+	}
+	return c.JSON(http.StatusOK, b.reports[0])
+}
+
+// note keeps a report of the present for the time when it may be seen; one for
+// each grain of time is enough. The caller holds mu.
+func (b *Backend) note(now time.Time) {
+	if n := len(b.reports); n > 0 && now.Sub(b.reports[n-1].At) < usageGrain {
+		b.reports[n-1].Tasks = b.running
+		b.reports[n-1].Cores = float64(b.running)
+		return
+	}
+	b.reports = append(b.reports, backend.Usage{At: now, Tasks: b.running, Cores: float64(b.running), MemoryBytes: float64(b.running) * taskMemory})
+	if len(b.reports) > maxReports {
+		b.reports = b.reports[1:]
+	}
+}
+
 func (b *Backend) act(c echo.Context, p Payload) error {
 	d, p := b.plan(p)
 	if p.Hang {
 		<-c.Request().Context().Done()
-		return nil
+		return c.String(http.StatusGatewayTimeout, "the lease lapsed\n")
 	}
 	if !sleep(c, d) {
-		return nil
+		return c.String(http.StatusGatewayTimeout, "the lease lapsed\n")
 	}
 	switch {
 	case p.Close:
@@ -205,10 +255,12 @@
 	b.journal = append(b.journal, s)
 	b.running++
 	b.most = max(b.most, b.running)
+	b.note(s.At)
 }
 
 func (b *Backend) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
+	b.note(time.Now())
 }
--- a/job/job.go
+++ b/job/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/lichenfall/lichenfall/failure"
 )
@@ -136,7 +137,7 @@
 	return c
 }
 
-func (t *Task) ran() failure.Ran {
+func (t Task) ran() failure.Ran {
 	switch t.State {
 	case Pending:
 		return failure.NotRun
@@ -176,3 +177,8 @@
 	}
 	return false
 }
+
+// AnyStarted returns whether a task of the job is known to have started.
+func (j *Job) AnyStarted() bool {
+	return slices.ContainsFunc(j.Tasks, func(t Task) bool { return t.ran() == failure.DidRun })
+}
--- a/metrics/agent.go
+++ b/metrics/agent.go
@@ -7,12 +7,15 @@
 
 	"github.com/lichenfall/lichenfall/claim"
 	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/queue"
 )
 
 // Agent counts what an agent does.
 type Agent struct {
 	results  map[string]tally.Counter
 	verdicts map[string]tally.Counter
+	violated map[string]tally.Counter
+	usage    [2]tally.Gauge // cores, bytes
 	started  tally.Counter
 	run      tally.Timer
 	queued   tally.Gauge
@@ -30,6 +33,8 @@
 	return &Agent{
 		results:  labelled(s, "tasks", "kind", Kinds()),
 		verdicts: labelled(s, "claims_answered", "verdict", verdicts),
+		violated: labelled(s, "promises_violated", "promise", append(queue.Promises(), other)),
+		usage:    [2]tally.Gauge{s.Gauge("backend_cores"), s.Gauge("backend_memory_bytes")},
 		started:  s.Counter("tasks_started"),
 		run:      s.Timer("task_run"),
 		queued:   s.Gauge("tasks_queued"),
@@ -45,6 +50,15 @@
 // Verdict counts the answer to a claim.
 func (a *Agent) Verdict(v claim.Verdict) { inc(a.verdicts, v.String(), 1) }
 
+// Violated counts a broken promise.
+func (a *Agent) Violated(promise string) { inc(a.violated, promise, 1) }
+
+// Usage records what the backend server says that it uses.
+func (a *Agent) Usage(cores, bytes float64) {
+	a.usage[0].Update(cores)
+	a.usage[1].Update(bytes)
+}
+
 // Started counts a task handed to the backend server.
 func (a *Agent) Started() { a.started.Inc(1) }
 
--- a/metrics/dispatch.go
+++ b/metrics/dispatch.go
@@ -1,6 +1,8 @@
 package metrics
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lichenfall/lichenfall/claim"
@@ -18,6 +20,7 @@
 	violated map[string]tally.Counter
 	resent   map[string]tally.Counter
 	suspect  map[string]tally.Counter
+	claimed  tally.Timer
 	placed   tally.Counter
 }
 
@@ -37,6 +40,7 @@
 		violated: labelled(s, "promises_violated", "promise", append(dispatch.Promises(), other)),
 		resent:   labelled(s, "resends", "found", []string{"running", "answered"}),
 		suspect:  labelled(s, "suspicions", "of", []string{"agent", "self"}),
+		claimed:  s.Timer("claim_wait"),
 		placed:   s.Counter("tasks_placed"),
 	}
 }
@@ -59,8 +63,11 @@
 // Retried counts a task placed again.
 func (d *Dispatch) Retried(k failure.Kind) { inc(d.retried, k.String(), 1) }
 
-// Claimed counts a holder's answer.
-func (d *Dispatch) Claimed(v claim.Verdict) { inc(d.claims, v.String(), 1) }
+// Claimed counts a holder's answer and records how long it took.
+func (d *Dispatch) Claimed(v claim.Verdict, took time.Duration) {
+	inc(d.claims, v.String(), 1)
+	d.claimed.Record(took)
+}
 
 // Dropped counts a message that came too late or twice.
 func (d *Dispatch) Dropped(reason string) { inc(d.dropped, reason, 1) }
--- a/queue/memory.go
+++ b/queue/memory.go
@@ -12,8 +12,9 @@
 }
 
 type remembered struct {
-	id taskID
-	at time.Time
+	id      taskID
+	at      time.Time
+	started bool
 }
 
 // memory remembers the tasks that were accepted, for a time and up to a
@@ -21,7 +22,7 @@
 type memory struct {
 	limit   int
 	window  time.Duration
-	byID    map[taskID]*list.Element // of remembered
+	byID    map[taskID]*list.Element // of *remembered
 	order   *list.List               // oldest first
 	evicted uint64
 }
@@ -36,13 +37,26 @@
 }
 
 func (m *memory) add(now time.Time, id taskID) {
-	m.byID[id] = m.order.PushBack(remembered{id, now})
+	m.byID[id] = m.order.PushBack(&remembered{id: id, at: now})
 	if m.order.Len() > m.limit {
 		m.removeOldest()
 		m.evicted++
 	}
 }
 
+// start records that the task is started; false means that it was before, or
+// is no longer remembered.
+func (m *memory) start(id taskID) bool {
+	e, ok := m.byID[id]
+	if !ok {
+		return false
+	}
+	r := e.Value.(*remembered)
+	first := !r.started
+	r.started = true
+	return first
+}
+
 func (m *memory) forget(id taskID) {
 	e, ok := m.byID[id]
 	if !ok {
@@ -53,11 +67,11 @@
 }
 
 func (m *memory) expire(now time.Time) {
-	for m.order.Len() > 0 && now.Sub(m.order.Front().Value.(remembered).at) > m.window {
+	for m.order.Len() > 0 && now.Sub(m.order.Front().Value.(*remembered).at) > m.window {
 		m.removeOldest()
 	}
 }
 
 func (m *memory) removeOldest() {
-	m.forget(m.order.Front().Value.(remembered).id)
+	m.forget(m.order.Front().Value.(*remembered).id)
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -83,10 +83,27 @@
 	Body   []byte
 }
 
+// The promises that are asserted while the program runs.
+const (
+	promiseNotRun = "not_run_after_start"
+	promiseOnce   = "started_twice"
+	promiseEnd    = "ended_without_start"
+)
+
+// Promises returns every promise that Asserter.Violated can be given.
+func Promises() []string { return []string{promiseNotRun, promiseOnce, promiseEnd} }
+
+// Asserter is told when a promise of the program is found broken. Tests panic;
+// daemons count and log. The queue then does what is safe.
+type Asserter interface {
+	Violated(promise string)
+}
+
 // Queue holds the tasks of one agent. It is not safe for use by several
 // goroutines.
 type Queue struct {
 	limits  Limits
+	assert  Asserter
 	waiting []*Task
 	tasks   map[Key]*Task
 	links   map[Link]*linkState
@@ -103,9 +120,10 @@
 }
 
 // New returns an empty queue.
-func New(l Limits) *Queue {
+func New(l Limits, a Asserter) *Queue {
 	return &Queue{
 		limits: l,
+		assert: a,
 		tasks:  make(map[Key]*Task),
 		links:  make(map[Link]*linkState),
 		seen:   newMemory(l.Remember, l.Window),
@@ -204,7 +222,8 @@
 // Finished records the end of a started task.
 func (q *Queue) Finished(now time.Time, t *Task, o Outcome) {
 	if t.state != Started {
-		panic("queue: a task that was not running has finished")
+		q.assert.Violated(promiseEnd)
+		return
 	}
 	t.state = Finished
 	q.running--
@@ -283,6 +302,12 @@
 			q.drop(t, failure.DeadlineInQueue, "")
 			continue
 		}
+		if !q.seen.start(t.id()) {
+			q.assert.Violated(promiseOnce)
+			q.release(t)
+			q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown}, 0)
+			continue
+		}
 		t.state = Started
 		t.StartedAt = now
 		q.running++
@@ -299,7 +324,8 @@
 
 func (q *Queue) refuse(t *Task, k failure.Kind, reason string) {
 	if t.state != Queued {
-		panic("queue: a task that started is called not run")
+		q.assert.Violated(promiseNotRun)
+		return
 	}
 	t.state = Refused
 	q.reply(t, Outcome{Kind: k, Ran: failure.NotRun, Reason: reason}, 0)
