placement: hand back what met a busier agent; answer jobs together

Cause: with several entries each knows late what the others place.

Change: a Place says how many tasks may wait ahead of it by the entry's own knowledge; an agent that holds more hands the excess back as busy, with its load, and the entry places it again at once, twice at most, then without limit. Answers of one job that end at one agent within 10 ms go out together, the last one and any failure at once. Tasks handed back together are placed again together.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,7 +23,7 @@
 const (
 	eventBacklog = 4096
 	eventBatch   = 512 // events taken before results are sent
-	tickEvery    = 10 * time.Millisecond
+	tickEvery    = 5 * time.Millisecond
 	flushTimeout = time.Second
 )
 
@@ -141,6 +141,7 @@
 		Window:   cfg.Claims.Window.D(),
 
 		ClockBound: cfg.Peers.ClockBound.D(),
+		Hold:       cfg.Backend.Hold.D(),
 	}
 }
 
--- a/capacity/cores.go
+++ b/capacity/cores.go
@@ -75,8 +75,8 @@
 func runTask(q *queue.Queue, i int) {
 	q.Place(origin, 1, &wire.Place{
 		Seq: uint64(i) + 1, Job: uint64(i), Submission: submissionID(i / tasksPerJob), BudgetMicros: 1e9,
-		DeadlineUnix: origin.Add(time.Hour).UnixMicro(),
-		Tasks:        []wire.Task{{Index: uint32(i % tasksPerJob), Attempt: 1, Payload: make([]byte, payloadSize)}},
+		DeadlineUnix: origin.Add(time.Hour).UnixMicro(), MaxQueue: wire.NoQueueLimit,
+		Tasks: []wire.Task{{Index: uint32(i % tasksPerJob), Attempt: 1, Payload: make([]byte, payloadSize)}},
 	})
 	for _, t := range q.Take(origin).Start {
 		q.Finished(origin, t, queue.Outcome{Ran: failure.DidRun, Body: make([]byte, payloadSize)})
--- a/commands/load.go
+++ b/commands/load.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/fakebackend"
 	"github.com/lichenfall/lichenfall/load"
 	"github.com/lichenfall/lichenfall/local"
@@ -45,6 +46,10 @@
 	Quiet      bool          `long:"quiet" short:"q" description:"no progress on standard error"`
 	Agents     int           `long:"agents" default:"11" description:"of the local system"`
 	Entries    int           `long:"entries" default:"2" description:"of the local system"`
+	Choices    int           `long:"choices" default:"0" description:"placement.choices of the local system"`
+	Bounces    int           `long:"bounces" default:"2" description:"placement.bounces of the local system"`
+	Hold       time.Duration `long:"hold" default:"10ms" description:"backend.hold of the local system"`
+	Slack      int           `long:"slack" default:"0" description:"placement.slack of the local system"`
 }
 
 const maxFanOut = 150
@@ -125,6 +130,12 @@
 		Backend: fakebackend.Settings{},
 		Log:     logging.Discard(),
 		Seed:    c.Seed,
+		Entry: func(cfg *config.Entry) {
+			cfg.Placement.Choices = c.Choices
+			cfg.Placement.Bounces = c.Bounces
+			cfg.Placement.Slack = c.Slack
+		},
+		Agent: func(cfg *config.Agent) { cfg.Backend.Hold = config.Duration(c.Hold) },
 	})
 }
 
--- a/config/backend.go
+++ b/config/backend.go
@@ -9,6 +9,7 @@
 	Slots       int      `json:"slots"`       // tasks at once
 	Connections int      `json:"connections"` // HTTP connections at most
 	Queue       int      `json:"queue"`       // tasks waiting for a slot
+	Hold        Duration `json:"hold"`        // how long an answer may wait for others of its job
 	MaxAnswer   int64    `json:"max_answer"`  // bytes of one answer
 	DialTimeout Duration `json:"dial_timeout"`
 	UsagePoll   Duration `json:"usage_poll"`   // between readings of its usage reports
@@ -22,6 +23,7 @@
 		Slots:       8,
 		Connections: 64,
 		Queue:       256,
+		Hold:        Duration(10 * time.Millisecond),
 		MaxAnswer:   256 << 10,
 		DialTimeout: Duration(time.Second),
 		UsagePoll:   Duration(time.Second),
@@ -35,6 +37,7 @@
 	between(c, "backend.slots", b.Slots, 1, 1024)
 	between(c, "backend.connections", b.Connections, b.Slots, 4096)
 	between(c, "backend.queue", b.Queue, 0, 100000)
+	c.span("backend.hold", b.Hold, 0, Duration(time.Second))
 	between(c, "backend.max_answer", b.MaxAnswer, 16, 4<<20)
 	c.span("backend.dial_timeout", b.DialTimeout, Duration(10*time.Millisecond), Duration(10*time.Second))
 	c.span("backend.usage_poll", b.UsagePoll, Duration(100*time.Millisecond), Duration(time.Hour))
--- a/config/placement.go
+++ b/config/placement.go
@@ -6,7 +6,12 @@
 type Placement struct {
 	// Choices is the number of agents drawn at random, of which the least
 	// loaded is taken; 0 looks at all.
-	Choices     int      `json:"choices"`
+	Choices int `json:"choices"`
+	// Bounces is how often a task may be handed back by an agent that holds more
+	// tasks than the entry thought, Slack how many more are borne. They buy
+	// response time with messages.
+	Bounces     int      `json:"bounces"`
+	Slack       int      `json:"slack"`
 	PingAfter   Duration `json:"ping_after"`   // without a word of an agent that holds tasks
 	PingWait    Duration `json:"ping_wait"`    // for its answer, before it gets no more
 	SilentShare float64  `json:"silent_share"` // of the agents, before an entry suspects itself
@@ -15,6 +20,8 @@
 // DefaultPlacement returns the defaults of Placement.
 func DefaultPlacement() Placement {
 	return Placement{
+		Bounces:     2,
+		Slack:       0,
 		PingAfter:   Duration(200 * time.Millisecond),
 		PingWait:    Duration(200 * time.Millisecond),
 		SilentShare: 0.4,
@@ -23,6 +30,8 @@
 
 func (p *Placement) check(c *checker) {
 	between(c, "placement.choices", p.Choices, 0, 64)
+	between(c, "placement.bounces", p.Bounces, 0, 10)
+	between(c, "placement.slack", p.Slack, 0, 1000)
 	c.span("placement.ping_after", p.PingAfter, Duration(50*time.Millisecond), Duration(time.Minute))
 	c.span("placement.ping_wait", p.PingWait, Duration(50*time.Millisecond), Duration(time.Minute))
 	between(c, "placement.silent_share", p.SilentShare, 0, 1)
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -18,7 +18,8 @@
 	until  time.Time
 	lookup *Waiter // set when only the state is asked for
 	id     string
-	owner  string // incarnation expected, for fetches
+	owner  claim.Owner // asked for its answer, for fetches
+	grant  uint64      // by which the owner was granted the ID, for fetches
 	sent   bool
 }
 
@@ -68,7 +69,7 @@
 	delete(c.claims, m.Seq)
 	owner := claim.Owner{Address: m.Owner, Incarnation: m.OwnerIncarnation}
 	if p.lookup != nil {
-		c.found(now, p, claim.Verdict(m.Verdict), owner)
+		c.found(now, p, owner, m)
 		return
 	}
 	c.count.Claimed(claim.Verdict(m.Verdict), now.Sub(p.asked))
@@ -99,7 +100,7 @@
 // any other grant to us may have been used and forgotten.
 func (c *Core) heldBy(now time.Time, r *record, owner claim.Owner, seq uint64) {
 	if owner.Address != c.set.Self.Address {
-		c.fetch(now, r, owner)
+		c.fetch(now, r, owner, seq)
 		return
 	}
 	if owner.Incarnation == c.set.Self.Incarnation && slices.Contains(r.gaveUp, seq) {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -35,6 +35,8 @@
 	SilentShare float64       // of the agents that may be silent before we suspect ourselves
 	Grace       time.Duration // after a deadline, for the agents' own word on it
 	Attempts    int           // at placing a task, the first one included
+	Bounces     int           // times that a task may be handed back as busy
+	Slack       int           // tasks that an agent may hold beyond what we think, before it is busy
 	RetryRatio  float64       // retries for each first attempt
 	RetryBurst  float64       // retries that may be saved up
 	Backoff     retry.Backoff // before the second and later retries of a task
@@ -205,7 +207,7 @@
 	c.expireClaims(now)
 	c.expireFetches(now)
 	c.expireJobs(now)
-	c.placeDelayed(now)
+	c.placeDue(now)
 	c.watch(now)
 	c.forget(now)
 	c.rate.roll(now)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -130,17 +130,37 @@
 	})
 
 	It("are bounded by the retry budget (hazard 17)", func() {
-		f := newFixture(nil)
-		at := f.granted(1, f.submission(9))
-		for agent, m := range at {
+		f := newFixture(nil) // two retries in stock, and none earned
+		for agent, m := range f.granted(1, f.submission(2)) {
+			f.core.Message(f.now, agent, refusal(m, failure.QueueFull))
+		}
+		Expect(f.seen.counts["retry: queue_full"]).To(Equal(2))
+		Expect(f.core.Take().Deliveries).To(BeEmpty())
+		for agent, m := range f.granted(2, f.submission(1)) {
 			f.core.Message(f.now, agent, refusal(m, failure.QueueFull))
 		}
 		out := f.core.Take()
 		Expect(out.Deliveries).To(HaveLen(1))
 		Expect(out.Deliveries[0].Answer.Error.Kind).To(Equal("overloaded"))
+		Expect(out.Deliveries[0].Answer.Error.Ran).To(Equal("not run"))
 		Expect(f.seen.counts["retry: queue_full"]).To(Equal(2))
 	})
 
+	It("of tasks that only met a busier agent cost no budget, and end in a queue without limit", func() {
+		f := newFixture(func(s *dispatch.Settings) { s.Bounces = 2; s.RetryBurst = 0 })
+		at := f.granted(1, f.submission(1))
+		var limits []uint32
+		for range 3 {
+			Expect(at).To(HaveLen(1))
+			for agent, m := range at {
+				limits = append(limits, m.MaxQueue)
+				f.core.Message(f.now, agent, refusal(m, failure.Busy))
+			}
+			at = places(f.core.Take())
+		}
+		Expect(limits).To(Equal([]uint32{0, 0, wire.NoQueueLimit}))
+	})
+
 	It("are not made for what may have run", func() {
 		f := newFixture(nil)
 		for agent, m := range f.granted(1, f.submission(1)) {
--- a/dispatch/fetch.go
+++ b/dispatch/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/claim"
@@ -11,9 +12,9 @@
 )
 
 // fetch asks the entry that owns the submission for its answer.
-func (c *Core) fetch(now time.Time, r *record, owner claim.Owner) {
+func (c *Core) fetch(now time.Time, r *record, owner claim.Owner, grant uint64) {
 	r.phase = fetching
-	p := &pending{r: r, id: r.sub.ID, peer: owner.Address, owner: owner.Incarnation, until: now.Add(c.set.FetchWait)}
+	p := &pending{r: r, id: r.sub.ID, peer: owner.Address, owner: owner, grant: grant, until: now.Add(c.set.FetchWait)}
 	c.startFetch(p)
 }
 
@@ -30,13 +31,13 @@
 func (c *Core) sendFetches(peer, incarnation string) {
 	for _, seq := range matching(c.fetches, func(p *pending) bool { return p.peer == peer && !p.sent }) {
 		p := c.fetches[seq]
-		if p.owner != incarnation {
+		if p.owner.Incarnation != incarnation {
 			delete(c.fetches, seq)
 			c.fetchFailed(p, failure.OutcomeUnknown, "the entry that ran the submission is gone")
 			continue
 		}
 		p.sent = true
-		m := &wire.Fetch{Seq: seq, Submission: p.id, Incarnation: p.owner, Lookup: p.lookup != nil}
+		m := &wire.Fetch{Seq: seq, Submission: p.id, Incarnation: p.owner.Incarnation, GrantSeq: p.grant, Lookup: p.lookup != nil}
 		if p.r != nil {
 			m.Digest = p.r.sub.Digest[:]
 		}
@@ -105,13 +106,14 @@
 func (c *Core) fetchAsked(now time.Time, peer string, m *wire.Fetch) {
 	w := Waiter{Peer: peer, Seq: m.Seq}
 	r := c.records[m.Submission]
-	if r == nil || m.Incarnation != c.set.Self.Incarnation {
+	known := r != nil && m.Incarnation == c.set.Self.Incarnation
+	if known && r.phase == abandoned {
+		known = c.closeAbandoned(now, r, m.GrantSeq)
+	}
+	if !known {
 		c.send(peer, &wire.Fetched{Seq: m.Seq})
 		return
 	}
-	if r.phase == abandoned {
-		c.closeAbandoned(now, r)
-	}
 	if m.Lookup {
 		c.sendFetched(w, stateOf(r))
 		return
@@ -128,12 +130,17 @@
 }
 
 // closeAbandoned ends a submission that turns out to be ours although we gave
-// up claiming it: it never ran, and from now on never will.
-func (c *Core) closeAbandoned(now time.Time, r *record) {
+// up claiming it: it never ran, and from now on never will. It returns false
+// when the grant is not one that we gave up: then we used it, and forgot.
+func (c *Core) closeAbandoned(now time.Time, r *record, grant uint64) bool {
+	if !slices.Contains(r.gaveUp, grant) {
+		return false
+	}
 	c.unkeep(r)
 	a := refusal(r, failure.ClaimUnavailable, "the claim was given up before anything started", failure.NotRun, 0)
 	a.Error.Retry = failure.RetryNewID.String()
 	c.settle(now, r, a)
+	return true
 }
 
 func (c *Core) sendFetched(w Waiter, a *job.Answer) {
--- a/dispatch/lookup.go
+++ b/dispatch/lookup.go
@@ -35,7 +35,8 @@
 }
 
 // found goes on with a lookup once the holder has answered.
-func (c *Core) found(now time.Time, p *pending, v claim.Verdict, owner claim.Owner) {
+func (c *Core) found(now time.Time, p *pending, owner claim.Owner, m *wire.ClaimReply) {
+	v := claim.Verdict(m.Verdict)
 	if p.id == "" {
 		return // a probe
 	}
@@ -45,7 +46,7 @@
 	case v != claim.Held || owner.Address == c.set.Self.Address:
 		c.lookupFailed(p, failure.SubmissionNotFound, "nothing is remembered under this ID")
 	default:
-		c.startFetch(&pending{id: p.id, peer: owner.Address, owner: owner.Incarnation, until: now.Add(c.set.FetchWait), lookup: p.lookup})
+		c.startFetch(&pending{id: p.id, peer: owner.Address, owner: owner, grant: m.GrantSeq, until: now.Add(c.set.FetchWait), lookup: p.lookup})
 	}
 }
 
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -90,6 +90,7 @@
 			c.fail(now, e.r, e.task, e.kind, e.reason)
 		}
 	}
+	c.placeDue(now)
 }
 
 // acknowledgeLeave tells an agent that leaves that no task comes after this.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -10,7 +10,7 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// delayed is a task that waits for its next attempt.
+// delayed is a task that was handed back and is to be placed again.
 type delayed struct {
 	at    time.Time
 	job   uint64
@@ -18,16 +18,28 @@
 	kind  failure.Kind // why it was handed back
 }
 
-// placeAll spreads the tasks of a new job, one message for each agent.
+// placeAll spreads the tasks of a new job.
 func (c *Core) placeAll(now time.Time, r *record) {
+	all := make([]int, len(r.job.Tasks))
+	for i := range all {
+		all[i] = i
+	}
+	if i, ok := c.placeTasks(now, r, all); !ok {
+		c.fail(now, r, i, failure.NoAgent, "no agent of the pool can take work")
+	}
+}
+
+// placeTasks chooses an agent for each of the tasks and sends them, those for
+// one agent together. When there is no agent for one of them, nothing is sent,
+// and that task is returned.
+func (c *Core) placeTasks(now time.Time, r *record, indexes []int) (without int, ok bool) {
 	byAgent := make(map[string][]int)
 	var order []string
-	for i := range r.job.Tasks {
-		a := c.agents.Pick(r.sub.Pool, nil)
+	for _, i := range indexes {
+		a := c.agents.Pick(r.sub.Pool, r.job.Tasks[i].Tried)
 		if a == nil {
-			c.unplace(r, byAgent)
-			c.fail(now, r, i, failure.NoAgent, "no agent of the pool can take work")
-			return
+			c.unplace(byAgent)
+			return i, false
 		}
 		if byAgent[a.ID] == nil {
 			order = append(order, a.ID)
@@ -35,30 +47,46 @@
 		byAgent[a.ID] = append(byAgent[a.ID], i)
 	}
 	for _, agent := range order {
-		c.sendTasks(now, r, agent, byAgent[agent])
+		c.sendTo(now, r, agent, byAgent[agent])
 	}
+	return 0, true
 }
 
-func (c *Core) unplace(r *record, byAgent map[string][]int) {
+func (c *Core) unplace(byAgent map[string][]int) {
 	for agent, indexes := range byAgent {
 		c.agents.Return(agent, len(indexes)) // the order does not matter
 	}
 }
 
+// sendTo sends tasks that are counted as placed at the agent already. Those
+// that may still be handed back as busy go with a limit on the agent's queue.
+func (c *Core) sendTo(now time.Time, r *record, agent string, indexes []int) {
+	c.count.Placed(len(indexes))
+	c.awaitWord(now, agent, len(indexes))
+	var limited, final []int
+	for _, i := range indexes {
+		if r.job.Tasks[i].Bounces < c.set.Bounces {
+			limited = append(limited, i)
+		} else {
+			final = append(final, i)
+		}
+	}
+	limit := uint32(c.agents.Ahead(agent) + c.set.Slack)
+	c.sendTasks(now, r, agent, limited, limit)
+	c.sendTasks(now, r, agent, final, wire.NoQueueLimit)
+}
+
 // maxPlaceBytes bounds the payloads in one message, well under the bound of a
 // frame; a payload alone may be larger.
 const maxPlaceBytes = 1 << 20
 
-// sendTasks sends tasks that are counted as placed at the agent already.
-func (c *Core) sendTasks(now time.Time, r *record, agent string, indexes []int) {
-	c.count.Placed(len(indexes))
-	c.awaitWord(now, agent, len(indexes))
+func (c *Core) sendTasks(now time.Time, r *record, agent string, indexes []int, limit uint32) {
 	var m *wire.Place
 	size := 0
 	for _, i := range indexes {
 		payload := r.sub.Payloads[i]
 		if m == nil || size+len(payload) > maxPlaceBytes {
-			m = c.newPlace(now, r, agent)
+			m = c.newPlace(now, r, limit)
 			size = 0
 			c.send(agent, m)
 		}
@@ -68,7 +96,7 @@
 	}
 }
 
-func (c *Core) newPlace(now time.Time, r *record, agent string) *wire.Place {
+func (c *Core) newPlace(now time.Time, r *record, limit uint32) *wire.Place {
 	return &wire.Place{
 		Seq:           c.nextSeq(),
 		Job:           r.job.Number,
@@ -77,27 +105,38 @@
 		BudgetMicros:  uint64(max(0, r.sub.Deadline.Sub(now)) / time.Microsecond),
 		DeadlineUnix:  r.sub.Deadline.UnixMicro(),
 		NotRepeatable: r.sub.NotRepeatable,
+		MaxQueue:      limit,
 	}
 }
 
 // handBack deals with a task that an agent certainly did not run: it is tried
 // elsewhere while that makes sense, and else the job has to fail.
 func (c *Core) handBack(now time.Time, r *record, i int, k failure.Kind, reason string) (e ending, failed bool) {
+	if k == failure.Busy {
+		r.job.Bounce(i)
+		c.later = append(c.later, delayed{now, r.job.Number, i, k})
+		return ending{}, false
+	}
 	r.job.HandBack(i)
-	t := &r.job.Tasks[i]
+	tries := r.job.Tasks[i].Tries()
 	switch {
 	case !worthRetry(k):
 		return ending{r, i, k, reason}, true
-	case t.Attempts >= c.set.Attempts:
-		return ending{r, i, k, fmt.Sprintf("refused %d times, last: %s", t.Attempts, reason)}, true
+	case tries >= c.set.Attempts:
+		return ending{r, i, k, fmt.Sprintf("refused %d times, last: %s", tries, reason)}, true
 	case !c.budget.Spend():
 		return ending{r, i, failure.Overloaded, "the retry budget is spent after " + k.String()}, true
-	case t.Attempts > 1:
-		pause := c.set.Backoff.Delay(t.Attempts-2, c.rng.Float64())
-		c.later = append(c.later, delayed{now.Add(pause), r.job.Number, i, k})
-		return ending{}, false
 	}
-	return c.placeAgain(now, r, i, k)
+	c.later = append(c.later, delayed{now.Add(c.pauseBefore(tries)), r.job.Number, i, k})
+	return ending{}, false
+}
+
+// pauseBefore returns the pause after that many tries; none after the first.
+func (c *Core) pauseBefore(tries int) time.Duration {
+	if tries <= 1 {
+		return 0
+	}
+	return c.set.Backoff.Delay(tries-2, c.rng.Float64())
 }
 
 // worthRetry returns whether another agent may do better. The kinds listed
@@ -106,19 +145,14 @@
 	return k == failure.QueueFull || k == failure.Stopping || k == failure.BackendUnreachable
 }
 
-// placeAgain tries a task at an agent that has not refused it; k is why it was
-// handed back.
-func (c *Core) placeAgain(now time.Time, r *record, i int, k failure.Kind) (e ending, failed bool) {
-	a := c.agents.Pick(r.sub.Pool, r.job.Tasks[i].Tried)
-	if a == nil {
-		return ending{r, i, k, "no other agent of the pool can take the task"}, true
+// placeDue places what was handed back and whose pause is over, the tasks of
+// one job together.
+func (c *Core) placeDue(now time.Time) {
+	if len(c.later) == 0 {
+		return
 	}
-	c.count.Retried(k)
-	c.sendTasks(now, r, a.ID, []int{i})
-	return ending{}, false
-}
-
-func (c *Core) placeDelayed(now time.Time) {
+	due := make(map[uint64][]delayed)
+	var order []uint64
 	waiting := c.later
 	c.later = nil
 	for _, d := range waiting {
@@ -126,13 +160,35 @@
 			c.later = append(c.later, d)
 			continue
 		}
-		r := c.jobs[d.job]
-		if r == nil {
-			continue
+		if due[d.job] == nil {
+			order = append(order, d.job)
+		}
+		due[d.job] = append(due[d.job], d)
+	}
+	for _, n := range order {
+		if r := c.jobs[n]; r != nil {
+			c.placeAgain(now, r, due[n])
 		}
-		if e, failed := c.placeAgain(now, r, d.index, d.kind); failed {
-			c.fail(now, r, e.task, e.kind, e.reason)
+	}
+}
+
+func (c *Core) placeAgain(now time.Time, r *record, tasks []delayed) {
+	indexes := make([]int, len(tasks))
+	kinds := make(map[int]failure.Kind, len(tasks))
+	for k, d := range tasks {
+		indexes[k] = d.index
+		kinds[d.index] = d.kind
+	}
+	if i, ok := c.placeTasks(now, r, indexes); !ok {
+		k := kinds[i]
+		if k == failure.Busy {
+			k = failure.NoAgent
 		}
+		c.fail(now, r, i, k, "no other agent of the pool can take the task")
+		return
+	}
+	for _, d := range tasks {
+		c.count.Retried(d.kind)
 	}
 }
 
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -146,7 +146,7 @@
 	a.inc = w.incarnation()
 	a.offset = w.drawOffset()
 	a.paused, a.left, a.running = false, false, nil
-	a.queue = queue.New(queue.Limits{Slots: 2, Queue: 2, Remember: 1000, Window: window, ClockBound: clockBound}, w.seen)
+	a.queue = queue.New(queue.Limits{Slots: 2, Queue: 2, Remember: 1000, Window: window, ClockBound: clockBound, Hold: 10 * time.Millisecond}, w.seen)
 	limits := claim.Limits{Entries: 2, Window: window, ClockBound: clockBound}
 	a.holder = claim.Holder{Table: claim.New(w.agentNow(a), limits), Assignment: claim.Assignment(w.holders)}
 }
@@ -171,6 +171,7 @@
 		PingWait:    100 * time.Millisecond,
 		SilentShare: 0.4,
 		Attempts:    3,
+		Bounces:     w.between(0, 2),
 		RetryRatio:  0.5,
 		RetryBurst:  10,
 		Backoff:     retry.Backoff{Base: 5 * time.Millisecond, Max: 50 * time.Millisecond},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -156,6 +156,8 @@
 		PingWait:    e.cfg.Placement.PingWait.D(),
 		SilentShare: e.cfg.Placement.SilentShare,
 		Attempts:    j.Attempts,
+		Bounces:     e.cfg.Placement.Bounces,
+		Slack:       e.cfg.Placement.Slack,
 		RetryRatio:  j.RetryRatio,
 		RetryBurst:  j.RetryBurst,
 		Backoff:     retry.Backoff{Base: j.RetryPause.D(), Max: j.RetryPauseMax.D()},
--- a/failure/kind.go
+++ b/failure/kind.go
@@ -23,6 +23,7 @@
 	ClaimUnavailable
 	NoAgent
 	QueueFull
+	Busy
 	Overloaded
 	DeadlineInQueue
 	DeadlineWhileRunning
@@ -112,6 +113,7 @@
 	{ClaimUnavailable, "claim_unavailable", http.StatusServiceUnavailable, RanUnknown, RetrySameID, "The process responsible for the submission ID cannot be reached; this copy was not started."},
 	{NoAgent, "no_agent", http.StatusServiceUnavailable, NotRun, RetryNewID, "No agent of the pool can take work now."},
 	{QueueFull, "queue_full", http.StatusServiceUnavailable, NotRun, RetryNewID, "The agent's queue was full."},
+	{Busy, "busy", http.StatusServiceUnavailable, NotRun, RetryNewID, "The agent held more tasks than the entry thought; the task is placed again at once."},
 	{Overloaded, "overloaded", http.StatusTooManyRequests, NotRun, RetryNewID, "The entry holds as much work as it may, or the retry budget is spent."},
 	{DeadlineInQueue, "deadline_in_queue", http.StatusGatewayTimeout, NotRun, RetryNewID, "The deadline passed before the task was started."},
 	{DeadlineWhileRunning, "deadline_while_running", http.StatusGatewayTimeout, DidRun, RetryNewID, "The deadline passed after the task had started."},
--- a/job/job.go
+++ b/job/job.go
@@ -22,7 +22,8 @@
 type Task struct {
 	State    TaskState
 	Agent    string // where it is placed
-	Attempts int
+	Attempts int    // placings, bounces included
+	Bounces  int    // times handed back as busy
 	Ran      failure.Ran
 	Body     []byte
 	Tried    []string // agents that handed it back
@@ -90,6 +91,18 @@
 	t.Agent = ""
 }
 
+// Bounce records that a placed task was handed back only because the agent
+// holds more than we thought. It may be placed there again.
+func (j *Job) Bounce(i int) {
+	t := &j.Tasks[i]
+	t.State = Pending
+	t.Bounces++
+	t.Agent = ""
+}
+
+// Tries returns the number of placings that were not bounced.
+func (t Task) Tries() int { return t.Attempts - t.Bounces }
+
 // End records that a task will not be answered.
 func (j *Job) End(i int, ran failure.Ran) {
 	t := &j.Tasks[i]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -100,6 +100,16 @@
 	a.Leaving = a.Leaving || l.Leaving
 }
 
+// Ahead returns how many tasks are thought to wait at the agent, those counted
+// as placed there included.
+func (s *Set) Ahead(id string) int {
+	a := s.byID[id]
+	if a == nil {
+		return 0
+	}
+	return max(0, a.Outstanding+a.others-a.Slots)
+}
+
 // Pick chooses an agent of the pool that is not leaving and not in avoid, and
 // counts the task as placed there. It returns nil when there is none.
 func (s *Set) Pick(pool string, avoid []string) *Agent {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -60,6 +60,9 @@
 	Window   time.Duration // how long a past task is remembered
 	// ClockBound is the greatest difference to an entry's clock.
 	ClockBound time.Duration
+	// Hold is how long an answer may wait for those of the same job's other
+	// tasks here, without which the job cannot be answered anyway.
+	Hold time.Duration
 }
 
 // Report is a result for one link.
@@ -107,6 +110,8 @@
 	waiting []*Task
 	tasks   map[Key]*Task
 	links   map[Link]*linkState
+	jobs    map[jobKey]*jobState
+	holding []jobKey // jobs with answers that wait, in the order of their coming
 	running int
 	leaving bool
 	seen    *memory
@@ -126,6 +131,7 @@
 		assert: a,
 		tasks:  make(map[Key]*Task),
 		links:  make(map[Link]*linkState),
+		jobs:   make(map[jobKey]*jobState),
 		seen:   newMemory(l.Remember, l.Window),
 	}
 }
@@ -150,7 +156,7 @@
 			Deadline:      deadline,
 			NotRepeatable: p.NotRepeatable,
 		}
-		q.admit(now, t)
+		q.admit(now, t, p.MaxQueue)
 	}
 	return true
 }
@@ -178,7 +184,7 @@
 
 // admit looks first for another copy of the task: a task that may have started
 // must not be called "not run" for any other reason.
-func (q *Queue) admit(now time.Time, t *Task) {
+func (q *Queue) admit(now time.Time, t *Task, maxQueue uint32) {
 	switch {
 	case q.tasks[t.Key] != nil:
 		q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown, Reason: "placed twice on one link"}, 0)
@@ -188,10 +194,13 @@
 		q.refuse(t, failure.Stopping, "the backend server is leaving")
 	case len(q.waiting)+q.running >= q.limits.Queue+q.limits.Slots:
 		q.refuse(t, failure.QueueFull, "")
+	case len(q.waiting)+q.running >= q.limits.Slots+int(maxQueue):
+		q.refuse(t, failure.Busy, "")
 	default:
 		q.seen.add(now, t.id())
 		q.tasks[t.Key] = t
 		q.link(t.Link).held++
+		q.job(t).open++
 		q.waiting = append(q.waiting, t)
 	}
 }
@@ -231,7 +240,7 @@
 	if o.Ran == failure.NotRun {
 		q.seen.forget(t.id())
 	}
-	q.reply(t, o, now.Sub(t.StartedAt))
+	q.answer(now, t, q.result(t, o, now.Sub(t.StartedAt)))
 }
 
 // Expire refuses queued tasks whose deadline has passed.
@@ -287,6 +296,7 @@
 // cancels count first.
 func (q *Queue) Take(now time.Time) Effects {
 	q.fill(now)
+	q.sendHeld(now)
 	out := q.out
 	q.out = Effects{}
 	return out
@@ -333,6 +343,7 @@
 
 func (q *Queue) release(t *Task) {
 	delete(q.tasks, t.Key)
+	q.closeTask(t)
 	if l := q.links[t.Link]; l != nil {
 		l.held--
 	}
@@ -351,7 +362,15 @@
 }
 
 func (q *Queue) reply(t *Task, o Outcome, ran time.Duration) {
-	q.out.Reports = append(q.out.Reports, Report{Link: t.Link, Result: wire.Result{
+	q.send(t.Link, q.result(t, o, ran))
+}
+
+func (q *Queue) send(l Link, r wire.Result) {
+	q.out.Reports = append(q.out.Reports, Report{Link: l, Result: r})
+}
+
+func (q *Queue) result(t *Task, o Outcome, ran time.Duration) wire.Result {
+	return wire.Result{
 		Job:       t.Job,
 		Index:     t.Index,
 		Attempt:   t.Attempt,
@@ -360,5 +379,5 @@
 		Reason:    o.Reason,
 		Body:      o.Body,
 		RunMicros: uint64(ran / time.Microsecond),
-	}})
+	}
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -37,7 +37,7 @@
 	})
 	place := func(link queue.Link, submission string, budget time.Duration, indexes ...uint32) {
 		seq++
-		m := &wire.Place{Seq: seq, Job: 1, Submission: submission, BudgetMicros: uint64(budget / time.Microsecond), DeadlineUnix: now.Add(budget).UnixMicro()}
+		m := &wire.Place{Seq: seq, Job: 1, Submission: submission, MaxQueue: wire.NoQueueLimit, BudgetMicros: uint64(budget / time.Microsecond), DeadlineUnix: now.Add(budget).UnixMicro()}
 		for _, i := range indexes {
 			m.Tasks = append(m.Tasks, wire.Task{Index: i, Attempt: 1})
 		}
@@ -64,6 +64,17 @@
 		Expect(q.Take(now).Start).To(HaveLen(1))
 	})
 
+	It("hands back what would wait behind more tasks than the sender allows", func() {
+		m := &wire.Place{Seq: 1, MaxQueue: 1, BudgetMicros: 1e9, DeadlineUnix: now.Add(time.Minute).UnixMicro()}
+		for i := range uint32(5) {
+			m.Tasks = append(m.Tasks, wire.Task{Index: i})
+		}
+		q.Place(now, 1, m)
+		out := q.Take(now)
+		Expect(out.Start).To(HaveLen(2))
+		Expect(kinds(out)).To(Equal([]failure.Kind{failure.Busy, failure.Busy}))
+	})
+
 	It("cancels what has not started and nothing else (hazard 6)", func() {
 		place(1, "s@1", time.Minute, 0, 1, 2)
 		started := q.Take(now).Start
@@ -99,8 +110,29 @@
 		Expect(kinds(q.Take(now))).To(Equal([]failure.Kind{failure.Duplicate, failure.Stopping}))
 	})
 
+	It("sends the answers of a job together, the last one and a failure at once", func() {
+		q = queue.New(queue.Limits{Slots: 9, Queue: 9, Remember: 100, Window: time.Minute, Hold: 10 * time.Millisecond}, panics{})
+		place(1, "s@1", time.Minute, 0, 1, 2, 3)
+		started := q.Take(now).Start
+		done := func(i int, k failure.Kind) []failure.Kind {
+			q.Finished(now, started[i], queue.Outcome{Kind: k, Ran: failure.DidRun})
+			return kinds(q.Take(now))
+		}
+		Expect(done(0, failure.None)).To(BeEmpty())
+		now = now.Add(9 * time.Millisecond)
+		Expect(kinds(q.Take(now))).To(BeEmpty())
+		now = now.Add(time.Millisecond)
+		Expect(kinds(q.Take(now))).To(HaveLen(1))
+		Expect(done(1, failure.None)).To(BeEmpty())
+		Expect(done(2, failure.TaskFailed)).To(HaveLen(2))
+		Expect(done(3, failure.None)).To(HaveLen(1))
+		place(1, "t@1", time.Minute, 0)
+		started = q.Take(now).Start
+		Expect(done(0, failure.None)).To(HaveLen(1), "a job of one task")
+	})
+
 	It("takes no message twice on one link", func() {
-		m := &wire.Place{Seq: 1, Job: 1, Submission: "s@1", BudgetMicros: 1e6, DeadlineUnix: now.Add(time.Second).UnixMicro(), Tasks: []wire.Task{{}}}
+		m := &wire.Place{Seq: 1, Job: 1, Submission: "s@1", MaxQueue: 1, BudgetMicros: 1e6, DeadlineUnix: now.Add(time.Second).UnixMicro(), Tasks: []wire.Task{{}}}
 		Expect(q.Place(now, 1, m)).To(BeTrue())
 		Expect(q.Place(now, 1, m)).To(BeFalse())
 		Expect(q.Take(now).Start).To(HaveLen(1))
@@ -120,7 +152,7 @@
 	It("judges a message that was long on the way by the sender's clock (hazard 4)", func() {
 		sent := now
 		now = now.Add(10 * time.Second)
-		q.Place(now, 1, &wire.Place{Seq: 1, BudgetMicros: 1e6, DeadlineUnix: sent.Add(time.Second).UnixMicro(), Tasks: []wire.Task{{}}})
+		q.Place(now, 1, &wire.Place{Seq: 1, MaxQueue: 1, BudgetMicros: 1e6, DeadlineUnix: sent.Add(time.Second).UnixMicro(), Tasks: []wire.Task{{}}})
 		out := q.Take(now)
 		Expect(out.Start).To(BeEmpty())
 		Expect(kinds(out)).To(Equal([]failure.Kind{failure.DeadlineInQueue}))
--- a/wire/claims.go
+++ b/wire/claims.go
@@ -31,6 +31,7 @@
 	Submission  string
 	Digest      []byte
 	Incarnation string // of the entry asked; another one cannot know
+	GrantSeq    uint64 // of the claim by which that entry was granted the ID
 	Lookup      bool   // answer at once with the state, whatever the digest
 }
 
--- a/wire/claims_gen.go
+++ b/wire/claims_gen.go
@@ -135,12 +135,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Fetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendString(o, z.Submission)
 	o = msgp.AppendBytes(o, z.Digest)
 	o = msgp.AppendString(o, z.Incarnation)
+	o = msgp.AppendUint64(o, z.GrantSeq)
 	o = msgp.AppendBool(o, z.Lookup)
 	return
 }
@@ -153,8 +154,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -177,6 +178,11 @@
 		err = msgp.WrapError(err, "Incarnation")
 		return
 	}
+	z.GrantSeq, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "GrantSeq")
+		return
+	}
 	z.Lookup, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Lookup")
@@ -188,7 +194,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Fetch) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.BytesPrefixSize + len(z.Digest) + msgp.StringPrefixSize + len(z.Incarnation) + msgp.BoolSize
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.BytesPrefixSize + len(z.Digest) + msgp.StringPrefixSize + len(z.Incarnation) + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -6,6 +6,8 @@
 // reader. The first message in each direction is Hello.
 package wire
 
+import "math"
+
 //go:generate go tool msgp -io=false -tests=false -file messages.go -o messages_gen.go
 //msgp:tuple Hello Task Place Cancel Result Load Results Ping LeaveAck
 //msgp:limit arrays:4096
@@ -56,9 +58,16 @@
 	BudgetMicros  uint64 // time left until the deadline, when sent
 	DeadlineUnix  int64  // the deadline by the sender's clock, in microseconds
 	NotRepeatable bool
-	Tasks         []Task
+	// MaxQueue is the number of tasks that may wait ahead of these; an agent
+	// with more hands them back as busy. NoQueueLimit leaves it to the agent.
+	MaxQueue uint32
+	Tasks    []Task
 }
 
+// NoQueueLimit is the MaxQueue of tasks that are to wait however long the
+// agent's queue is, within its own bound.
+const NoQueueLimit = math.MaxUint32
+
 // Cancel asks an agent to give up those tasks of a job that have not started.
 // It cannot overtake the Place on its connection.
 type Cancel struct {
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -296,8 +296,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Place) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint64(o, z.Job)
 	o = msgp.AppendString(o, z.Submission)
@@ -305,6 +305,7 @@
 	o = msgp.AppendUint64(o, z.BudgetMicros)
 	o = msgp.AppendInt64(o, z.DeadlineUnix)
 	o = msgp.AppendBool(o, z.NotRepeatable)
+	o = msgp.AppendUint32(o, z.MaxQueue)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
 	for za0001 := range z.Tasks {
 		// array header, size 3
@@ -324,8 +325,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -363,6 +364,11 @@
 		err = msgp.WrapError(err, "NotRepeatable")
 		return
 	}
+	z.MaxQueue, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxQueue")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -427,7 +433,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Place) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.StringPrefixSize + len(z.Team) + msgp.Uint64Size + msgp.Int64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Submission) + msgp.StringPrefixSize + len(z.Team) + msgp.Uint64Size + msgp.Int64Size + msgp.BoolSize + msgp.Uint32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
 		s += 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Tasks[za0001].Payload)
 	}
