queue: serve teams and jobs in turn; compare settings on one trace

Cause: an agent served tasks as they came, so that a single task waited behind a burst of 150 and one team behind another; and settings could only be compared run by run, without a bound.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -142,6 +142,7 @@
 
 		ClockBound: cfg.Peers.ClockBound.D(),
 		Hold:       cfg.Backend.Hold.D(),
+		InOrder:    cfg.Backend.Order == "arrival",
 	}
 }
 
--- a/commands/load.go
+++ b/commands/load.go
@@ -12,6 +12,7 @@
 	"github.com/lichenfall/lichenfall/local"
 	"github.com/lichenfall/lichenfall/logging"
 	"github.com/lichenfall/lichenfall/metrics"
+	"github.com/lichenfall/lichenfall/wire"
 )
 
 func init() {
@@ -48,6 +49,7 @@
 	Entries    int           `long:"entries" default:"2" description:"of the local system"`
 	Choices    int           `long:"choices" default:"0" description:"placement.choices of the local system"`
 	Bounces    int           `long:"bounces" default:"2" description:"placement.bounces of the local system"`
+	Order      string        `long:"order" default:"fair" choice:"fair" choice:"arrival" description:"backend.order of the local system"`
 	Hold       time.Duration `long:"hold" default:"10ms" description:"backend.hold of the local system"`
 	Slack      int           `long:"slack" default:"0" description:"placement.slack of the local system"`
 }
@@ -89,6 +91,9 @@
 	s.Messages = make(map[string]float64)
 	for k, n := range c.messages(ctx) {
 		s.Messages[k] = (n - before[k]) / float64(max(1, s.Tasks))
+		if wire.Wasted(k) {
+			s.WastedMessages += s.Messages[k]
+		}
 	}
 	return s
 }
@@ -135,7 +140,10 @@
 			cfg.Placement.Bounces = c.Bounces
 			cfg.Placement.Slack = c.Slack
 		},
-		Agent: func(cfg *config.Agent) { cfg.Backend.Hold = config.Duration(c.Hold) },
+		Agent: func(cfg *config.Agent) {
+			cfg.Backend.Hold = config.Duration(c.Hold)
+			cfg.Backend.Order = c.Order
+		},
 	})
 }
 
--- a/config/backend.go
+++ b/config/backend.go
@@ -4,13 +4,15 @@
 
 // Backend is the agent's section on the backend server beside it.
 type Backend struct {
-	URL         string   `json:"url"`
-	Pool        string   `json:"pool"`
-	Slots       int      `json:"slots"`       // tasks at once
-	Connections int      `json:"connections"` // HTTP connections at most
-	Queue       int      `json:"queue"`       // tasks waiting for a slot
-	Hold        Duration `json:"hold"`        // how long an answer may wait for others of its job
-	MaxAnswer   int64    `json:"max_answer"`  // bytes of one answer
+	URL         string `json:"url"`
+	Pool        string `json:"pool"`
+	Slots       int    `json:"slots"`       // tasks at once
+	Connections int    `json:"connections"` // HTTP connections at most
+	Queue       int    `json:"queue"`       // tasks waiting for a slot
+	// Order is "fair": teams in turn, jobs of a team in turn; or "arrival".
+	Order       string   `json:"order"`
+	Hold        Duration `json:"hold"`       // how long an answer may wait for others of its job
+	MaxAnswer   int64    `json:"max_answer"` // bytes of one answer
 	DialTimeout Duration `json:"dial_timeout"`
 	UsagePoll   Duration `json:"usage_poll"`   // between readings of its usage reports
 	StopTimeout Duration `json:"stop_timeout"` // for tasks in flight at a planned stop
@@ -23,6 +25,7 @@
 		Slots:       8,
 		Connections: 64,
 		Queue:       256,
+		Order:       "fair",
 		Hold:        Duration(10 * time.Millisecond),
 		MaxAnswer:   256 << 10,
 		DialTimeout: Duration(time.Second),
@@ -37,6 +40,7 @@
 	between(c, "backend.slots", b.Slots, 1, 1024)
 	between(c, "backend.connections", b.Connections, b.Slots, 4096)
 	between(c, "backend.queue", b.Queue, 0, 100000)
+	c.oneOf("backend.order", b.Order, "fair", "arrival")
 	c.span("backend.hold", b.Hold, 0, Duration(time.Second))
 	between(c, "backend.max_answer", b.MaxAnswer, 16, 4<<20)
 	c.span("backend.dial_timeout", b.DialTimeout, Duration(10*time.Millisecond), Duration(10*time.Second))
--- a/load/report.go
+++ b/load/report.go
@@ -35,6 +35,7 @@
 	resends  map[string]int // by what they were answered
 	latency  *hdrhistogram.Histogram
 	over     *hdrhistogram.Histogram
+	single   *hdrhistogram.Histogram // over ideal, of jobs of one task
 	ratio    *hdrhistogram.Histogram // thousandths
 }
 
@@ -42,7 +43,7 @@
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(histLow, histHigh, histDigits) }
 	return &Report{
 		Plan: p, kinds: make(map[string]int), ran: make(map[string]int), resends: make(map[string]int),
-		latency: h(), over: h(), ratio: h(),
+		latency: h(), over: h(), single: h(), ratio: h(),
 	}
 }
 
@@ -65,6 +66,9 @@
 		r.complete++
 		_ = r.latency.RecordValue(max(histLow, took.Microseconds()))
 		_ = r.over.RecordValue(max(histLow, (took - ideal).Microseconds()))
+		if len(q.Tasks) == 1 {
+			_ = r.single.RecordValue(max(histLow, (took - ideal).Microseconds()))
+		}
 		if ideal > 0 {
 			_ = r.ratio.RecordValue(max(histLow, int64(took)*1000/int64(ideal)))
 		}
@@ -115,11 +119,14 @@
 	FailedRan  map[string]int `json:"failed_ran"`
 	Resends    map[string]int `json:"resends"`
 	LatencyMS  Quantiles      `json:"latency_ms"`
-	OverMS     Quantiles      `json:"over_ideal_ms"` // beyond the longest task's own time
+	OverMS     Quantiles      `json:"over_ideal_ms"`        // beyond the longest task's own time
+	SingleMS   Quantiles      `json:"over_ideal_single_ms"` // the same, of jobs of one task
 	Ratio      Quantiles      `json:"ratio_to_ideal"`
 	// Messages is the number of messages between processes for each task, by
 	// kind; empty when no process was scraped.
 	Messages map[string]float64 `json:"messages_per_task,omitempty"`
+	// WastedMessages is the number of those that carry no useful work.
+	WastedMessages float64 `json:"wasted_messages_per_task"`
 }
 
 // Summary returns the state of the report.
@@ -140,6 +147,7 @@
 		Resends:    copyCounts(r.resends),
 		LatencyMS:  quantiles(r.latency),
 		OverMS:     quantiles(r.over),
+		SingleMS:   quantiles(r.single),
 		Ratio:      quantiles(r.ratio),
 	}
 }
@@ -170,6 +178,7 @@
 	fmt.Fprintf(w, "%-22s %10s %10s %10s %10s %10s\n", "", "p50", "p90", "p99", "p99.9", "max")
 	writeQuantiles(w, "latency ms", s.LatencyMS)
 	writeQuantiles(w, "over ideal ms", s.OverMS)
+	writeQuantiles(w, "  of single tasks", s.SingleMS)
 	writeQuantiles(w, "ratio to ideal", s.Ratio)
 	for _, k := range messageKinds([]Summary{s}) {
 		fmt.Fprintf(w, "messages/task %-12s %.4f\n", k, s.Messages[k])
--- a/load/run.go
+++ b/load/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,7 +29,7 @@
 // Run carries out the plan and waits for all answers. progress is called every
 // second; it may be nil.
 func Run(ctx context.Context, p Plan, progress func(*Report)) *Report {
-	g := &generator{plan: p, rng: rand.New(rand.NewPCG(p.Seed, p.Seed)), report: newReport(p)}
+	g := &generator{plan: p, report: newReport(p)}
 	for _, u := range p.Entries {
 		g.clients = append(g.clients, client.New(u))
 	}
@@ -46,7 +45,6 @@
 
 type generator struct {
 	plan    Plan
-	rng     *rand.Rand
 	clients []*client.Client
 	report  *Report
 	wg      sync.WaitGroup
@@ -82,29 +80,29 @@
 // arrive sends each job at its time. A job that is late because this process
 // was slow counts from the time at which it should have been sent.
 func (g *generator) arrive(ctx context.Context, start time.Time) {
-	var at time.Duration
-	for at < g.plan.Duration && ctx.Err() == nil {
-		due := start.Add(at)
+	for _, a := range Trace(g.plan) {
+		due := start.Add(a.At)
 		if wait := time.Until(due); wait > 0 {
 			time.Sleep(wait)
 		}
-		g.send(ctx, due)
-		at += g.plan.Arrivals.Gap(at, g.rng)
+		if ctx.Err() != nil {
+			return
+		}
+		g.send(ctx, a, due)
 	}
 }
 
-func (g *generator) send(ctx context.Context, due time.Time) {
-	r, ideal := g.request()
+func (g *generator) send(ctx context.Context, arrival Arrival, due time.Time) {
+	r := g.request(arrival)
 	entry := g.sent % len(g.clients)
 	g.sent++
-	again := g.rng.Float64() < g.plan.Resend
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
 		a, err := g.clients[entry].Submit(ctx, r)
-		g.report.add(r, a, err, time.Since(due), ideal)
+		g.report.add(r, a, err, time.Since(due), arrival.Longest())
 	}()
-	if again {
+	if arrival.Resend {
 		other := (entry + 1) % len(g.clients)
 		g.wg.Add(1)
 		go func() {
@@ -115,23 +113,19 @@
 	}
 }
 
-// request draws a job and returns with it the time that its longest task needs.
-func (g *generator) request() (*job.Request, time.Duration) {
-	n := max(1, min(int(g.plan.FanOut.Draw(g.rng)), g.plan.MaxFanOut))
+func (g *generator) request(a Arrival) *job.Request {
 	r := &job.Request{
 		ID:        client.NewID(),
 		Team:      g.plan.Team,
 		Pool:      g.plan.Pool,
 		TimeoutMS: g.plan.Timeout.Milliseconds(),
-		Tasks:     make([]job.TaskRequest, n),
+		Tasks:     make([]job.TaskRequest, len(a.Times)),
 	}
-	var longest float64
-	for i := range r.Tasks {
-		ms := g.plan.TaskTime.Draw(g.rng)
-		longest = max(longest, ms)
+	for i, d := range a.Times {
+		ms := float64(d) / float64(time.Millisecond)
 		r.Tasks[i].Payload = json.RawMessage(fmt.Sprintf(`{"sleep_ms":%.3f,"echo":%s}`, ms, echo(r.ID, i)))
 	}
-	return r, time.Duration(longest * float64(time.Millisecond))
+	return r
 }
 
 // echo is what task i of a submission must be answered with.
--- a/load/spread.go
+++ b/load/spread.go
@@ -49,10 +49,14 @@
 	{"over ideal p90, ms", func(s Summary) float64 { return s.OverMS.P90 }},
 	{"over ideal p99, ms", func(s Summary) float64 { return s.OverMS.P99 }},
 	{"over ideal p99.9, ms", func(s Summary) float64 { return s.OverMS.P999 }},
-	{"messages/task, all", func(s Summary) float64 { return s.allMessages() }},
+	{"over ideal p50 of single tasks, ms", func(s Summary) float64 { return s.SingleMS.P50 }},
+	{"over ideal p99 of single tasks, ms", func(s Summary) float64 { return s.SingleMS.P99 }},
+	{"messages/task, wasted", func(s Summary) float64 { return s.WastedMessages }},
+	{"messages/task, all", func(s Summary) float64 { return s.AllMessages() }},
 }
 
-func (s Summary) allMessages() float64 {
+// AllMessages returns the messages for each task, of all kinds.
+func (s Summary) AllMessages() float64 {
 	var sum float64
 	for _, n := range s.Messages {
 		sum += n
--- a/metrics/peers.go
+++ b/metrics/peers.go
@@ -10,7 +10,7 @@
 // Peers counts messages and faults on connections between processes. It is a
 // peer.Counter.
 type Peers struct {
-	messages [2][256]tally.Counter
+	messages [2]map[string]tally.Counter
 	bytes    [2]tally.Counter
 	faults   map[string]tally.Counter
 }
@@ -21,21 +21,15 @@
 	for d, name := range []string{peer.In: "in", peer.Out: "out"} {
 		tagged := s.Tagged(map[string]string{"direction": name})
 		p.bytes[d] = tagged.Counter("message_bytes")
-		unknown := tagged.Tagged(map[string]string{"kind": "unknown"}).Counter("messages")
-		for k := range p.messages[d] {
-			p.messages[d][k] = unknown
-		}
-		for _, k := range wire.Kinds() {
-			p.messages[d][k] = tagged.Tagged(map[string]string{"kind": k.String()}).Counter("messages")
-		}
+		p.messages[d] = labelled(tagged, "messages", "kind", append(wire.Labels(), other))
 	}
 	p.faults = labelled(s, "connection_faults", "reason", append(peer.FaultReasons(), other))
 	return p
 }
 
 // Message counts one message.
-func (p *Peers) Message(d peer.Direction, k wire.Kind, bytes int) {
-	p.messages[d][k].Inc(1)
+func (p *Peers) Message(d peer.Direction, m wire.Message, bytes int) {
+	inc(p.messages[d], wire.Label(m), 1)
 	p.bytes[d].Inc(int64(bytes))
 }
 
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -31,7 +31,7 @@
 // Counter counts what passes over connections.
 type Counter interface {
 	// Message is called once for each frame, with its size in bytes.
-	Message(d Direction, k wire.Kind, bytes int)
+	Message(d Direction, m wire.Message, bytes int)
 	// Fault is called when a connection is closed for a reason of the peer's:
 	// the reasons of wire.FaultReason and those of this package.
 	Fault(reason string)
@@ -200,7 +200,7 @@
 			c.opts.Counter.Fault(faultSecondHello)
 			return errs.New("a second hello")
 		}
-		c.opts.Counter.Message(In, m.WireKind(), n)
+		c.opts.Counter.Message(In, m, n)
 		h.Message(c, m)
 	}
 }
@@ -256,7 +256,7 @@
 			c.opts.Counter.Fault(faultOwnTooLong)
 			return buf, wire.ErrTooLong
 		}
-		c.opts.Counter.Message(Out, m.WireKind(), len(buf)-before)
+		c.opts.Counter.Message(Out, m, len(buf)-before)
 		if len(buf) >= bufferBytes {
 			if err := c.writeAll(buf); err != nil {
 				return buf, err
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -21,7 +21,7 @@
 	if err := c.writeAll(buf); err != nil {
 		return nil, err
 	}
-	c.opts.Counter.Message(Out, wire.KindHello, len(buf))
+	c.opts.Counter.Message(Out, ours, len(buf))
 	theirs, err := c.readHello()
 	if err != nil {
 		return nil, err
@@ -51,6 +51,6 @@
 		c.opts.Counter.Fault(faultClock)
 		return nil, ErrClock
 	}
-	c.opts.Counter.Message(In, wire.KindHello, n)
+	c.opts.Counter.Message(In, h, n)
 	return h, nil
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -63,6 +63,8 @@
 	// Hold is how long an answer may wait for those of the same job's other
 	// tasks here, without which the job cannot be answered anyway.
 	Hold time.Duration
+	// InOrder serves tasks as they came, in place of teams and jobs in turn.
+	InOrder bool
 }
 
 // Report is a result for one link.
@@ -107,7 +109,7 @@
 type Queue struct {
 	limits  Limits
 	assert  Asserter
-	waiting []*Task
+	waiting fair
 	tasks   map[Key]*Task
 	links   map[Link]*linkState
 	jobs    map[jobKey]*jobState
@@ -127,12 +129,13 @@
 // New returns an empty queue.
 func New(l Limits, a Asserter) *Queue {
 	return &Queue{
-		limits: l,
-		assert: a,
-		tasks:  make(map[Key]*Task),
-		links:  make(map[Link]*linkState),
-		jobs:   make(map[jobKey]*jobState),
-		seen:   newMemory(l.Remember, l.Window),
+		limits:  l,
+		assert:  a,
+		waiting: fair{inOrder: l.InOrder},
+		tasks:   make(map[Key]*Task),
+		links:   make(map[Link]*linkState),
+		jobs:    make(map[jobKey]*jobState),
+		seen:    newMemory(l.Remember, l.Window),
 	}
 }
 
@@ -192,39 +195,32 @@
 		q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown, Reason: "seen before"}, 0)
 	case q.leaving:
 		q.refuse(t, failure.Stopping, "the backend server is leaving")
-	case len(q.waiting)+q.running >= q.limits.Queue+q.limits.Slots:
+	case q.waiting.len()+q.running >= q.limits.Queue+q.limits.Slots:
 		q.refuse(t, failure.QueueFull, "")
-	case len(q.waiting)+q.running >= q.limits.Slots+int(maxQueue):
+	case q.waiting.len()+q.running >= q.limits.Slots+int(maxQueue):
 		q.refuse(t, failure.Busy, "")
 	default:
 		q.seen.add(now, t.id())
 		q.tasks[t.Key] = t
 		q.link(t.Link).held++
 		q.job(t).open++
-		q.waiting = append(q.waiting, t)
+		q.waiting.push(t)
 	}
 }
 
 // Cancel gives up those of the tasks that have not started.
 func (q *Queue) Cancel(now time.Time, from Link, c *wire.Cancel) {
+	named := make(map[Key]bool, len(c.Indexes))
 	for _, index := range c.Indexes {
-		t := q.tasks[Key{Link: from, Job: c.Job, Index: index}]
-		if t != nil && t.state == Queued {
-			q.drop(t, failure.Cancelled, "")
-		}
+		named[Key{Link: from, Job: c.Job, Index: index}] = true
 	}
-	q.compact()
+	q.dropAll(func(t *Task) bool { return named[t.Key] }, failure.Cancelled, "")
 }
 
 // LinkDown forgets a link. Its queued tasks are dropped, since nobody is left
 // to receive their results; its started ones run to their end.
 func (q *Queue) LinkDown(link Link) {
-	for _, t := range q.waiting {
-		if t.Link == link {
-			q.drop(t, failure.Cancelled, "link down")
-		}
-	}
-	q.compact()
+	q.dropAll(func(t *Task) bool { return t.Link == link }, failure.Cancelled, "link down")
 	delete(q.links, link)
 }
 
@@ -245,12 +241,7 @@
 
 // Expire refuses queued tasks whose deadline has passed.
 func (q *Queue) Expire(now time.Time) {
-	for _, t := range q.waiting {
-		if !now.Before(t.Deadline) {
-			q.drop(t, failure.DeadlineInQueue, "")
-		}
-	}
-	q.compact()
+	q.dropAll(func(t *Task) bool { return !now.Before(t.Deadline) }, failure.DeadlineInQueue, "")
 	q.seen.expire(now)
 }
 
@@ -258,14 +249,11 @@
 // has started runs to its end.
 func (q *Queue) Leave() {
 	q.leaving = true
-	for _, t := range q.waiting {
-		q.drop(t, failure.Stopping, "the backend server is leaving")
-	}
-	q.compact()
+	q.dropAll(func(*Task) bool { return true }, failure.Stopping, "the backend server is leaving")
 }
 
 // Idle returns whether nothing is queued or running.
-func (q *Queue) Idle() bool { return len(q.waiting) == 0 && q.running == 0 }
+func (q *Queue) Idle() bool { return q.waiting.len() == 0 && q.running == 0 }
 
 // Leaving returns whether new work is refused.
 func (q *Queue) Leaving() bool { return q.leaving }
@@ -277,7 +265,7 @@
 		mine = l.held
 	}
 	return wire.Load{
-		Queued:  uint32(len(q.waiting)),
+		Queued:  uint32(q.waiting.len()),
 		Running: uint32(q.running),
 		Mine:    mine,
 		Slots:   uint32(q.limits.Slots),
@@ -304,10 +292,8 @@
 
 // fill starts queued tasks on free slots, in order.
 func (q *Queue) fill(now time.Time) {
-	for q.running < q.limits.Slots && len(q.waiting) > 0 {
-		t := q.waiting[0]
-		q.waiting[0] = nil
-		q.waiting = q.waiting[1:]
+	for q.running < q.limits.Slots && q.waiting.len() > 0 {
+		t := q.waiting.pop()
 		if !now.Before(t.Deadline) {
 			q.drop(t, failure.DeadlineInQueue, "")
 			continue
@@ -325,7 +311,14 @@
 	}
 }
 
-// drop ends a queued task that never ran. The caller removes it from waiting.
+// dropAll takes the tasks that match out of the queue.
+func (q *Queue) dropAll(match func(*Task) bool, k failure.Kind, reason string) {
+	for _, t := range q.waiting.remove(match) {
+		q.drop(t, k, reason)
+	}
+}
+
+// drop ends a task that never ran and is no longer in the queue.
 func (q *Queue) drop(t *Task, k failure.Kind, reason string) {
 	q.release(t)
 	q.seen.forget(t.id())
@@ -349,18 +342,6 @@
 	}
 }
 
-// compact removes tasks that are no longer queued from the waiting list.
-func (q *Queue) compact() {
-	kept := q.waiting[:0]
-	for _, t := range q.waiting {
-		if t.state == Queued {
-			kept = append(kept, t)
-		}
-	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
-}
-
 func (q *Queue) reply(t *Task, o Outcome, ran time.Duration) {
 	q.send(t.Link, q.result(t, o, ran))
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,6 +111,41 @@
 		Expect(kinds(q.Take(now))).To(Equal([]failure.Kind{failure.Duplicate, failure.Stopping}))
 	})
 
+	It("serves teams in turn, and jobs of a team in turn (hazard 20)", func() {
+		add := func(job uint64, team string, tasks int) {
+			seq++
+			m := &wire.Place{Seq: seq, Job: job, Submission: fmt.Sprint(job), Team: team, MaxQueue: wire.NoQueueLimit, BudgetMicros: 1e9, DeadlineUnix: now.Add(time.Hour).UnixMicro()}
+			for i := range tasks {
+				m.Tasks = append(m.Tasks, wire.Task{Index: uint32(i)})
+			}
+			q.Place(now, 1, m)
+		}
+		order := func() (jobs []uint64) {
+			for {
+				out := q.Take(now)
+				if len(out.Start) == 0 {
+					return jobs
+				}
+				for _, t := range out.Start {
+					jobs = append(jobs, t.Job)
+					q.Finished(now, t, queue.Outcome{Ran: failure.DidRun})
+				}
+			}
+		}
+		l := queue.Limits{Slots: 1, Queue: 100, Remember: 100, Window: time.Hour}
+		q = queue.New(l, panics{})
+		add(1, "a", 4)
+		add(2, "a", 1)
+		add(3, "b", 2)
+		Expect(order()).To(Equal([]uint64{1, 3, 2, 3, 1, 1, 1}))
+		l.InOrder = true
+		q = queue.New(l, panics{})
+		add(1, "a", 4)
+		add(2, "a", 1)
+		add(3, "b", 2)
+		Expect(order()).To(Equal([]uint64{1, 1, 1, 1, 2, 3, 3}))
+	})
+
 	It("sends the answers of a job together, the last one and a failure at once", func() {
 		q = queue.New(queue.Limits{Slots: 9, Queue: 9, Remember: 100, Window: time.Minute, Hold: 10 * time.Millisecond}, panics{})
 		place(1, "s@1", time.Minute, 0, 1, 2, 3)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -83,6 +83,22 @@
 	)
 })
 
+var _ = Describe("messages", func() {
+	DescribeTable("are counted by label, wasted or not", func(m wire.Message, label string, wasted bool) {
+		Expect(wire.Label(m)).To(Equal(label))
+		Expect(wire.Wasted(label)).To(Equal(wasted))
+		Expect(wire.Labels()).To(ContainElement(label))
+	},
+		Entry("a task", &wire.Place{Tasks: []wire.Task{{Attempt: 2}, {Attempt: 1}}}, "place", false),
+		Entry("tasks placed again", &wire.Place{Tasks: []wire.Task{{Attempt: 2}}}, "place_again", true),
+		Entry("an answer", &wire.Results{Items: []wire.Result{{Ran: 1}, {Ran: 2}}}, "results", false),
+		Entry("refusals", &wire.Results{Items: []wire.Result{{Ran: 1}}}, "results_empty", true),
+		Entry("the load alone", &wire.Results{}, "results_empty", true),
+		Entry("a claim", &wire.Claim{}, "claim", true),
+		Entry("a fetched answer", &wire.Fetched{}, "fetched", false),
+	)
+})
+
 func FuzzRead(f *testing.F) {
 	for _, m := range samples() {
 		b, err := wire.Append(nil, m)
