placement: hold back backend servers that straggle or fail fast

Cause: a backend server ten times as slow kept its share of outstanding tasks, and one that fails at once looked idle and drew all traffic (hazards 18, 19).

Change: an agent whose tasks take three times the median of its pool, or fail far more often, counts as more loaded by that factor; it gets a trickle, what was held against it fades, and when over 40% of a pool seem bad none is held back.

Figures: specs in virtual time: the straggler and the failing agent get under 2% of 2,000 tasks, and the straggler's share is back after it has recovered; real processes are measured with design note 0003.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unversioned)
 
-.PHONY: build test lint dev bench baseline capacity soak random mutants fuzz docs generate
+.PHONY: build test lint dev bench baseline compare capacity soak random mutants fuzz docs generate
 
 build: ## build bin/lichenfall
 	$(GO) build -trimpath -ldflags "-X github.com/lichenfall/lichenfall/commands.version=$(VERSION)" -o bin/lichenfall .
@@ -22,6 +22,9 @@
 baseline: build ## measure the path; rewrites docs/measurements/0001-baseline.md
 	scripts/baseline
 
+compare: build ## placement and queue settings against each other; rewrites docs/measurements/0003-placement.md
+	scripts/compare
+
 capacity: build ## measure the slopes; rewrites the tables of docs/CAPACITY.md
 	bin/lichenfall capacity --page docs/CAPACITY.md
 
--- a/commands/compare.go
+++ b/commands/compare.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/fakebackend"
 	"github.com/lichenfall/lichenfall/load"
 	"github.com/lichenfall/lichenfall/local"
 	"github.com/lichenfall/lichenfall/logging"
@@ -20,7 +21,7 @@
 		summary: "Run settings against each other on the same arrivals",
 		usage: "Runs a local system with each variant of settings in turn, again and again, each round with the arrivals of another seed, " +
 			"and prints medians with ranges as a Markdown table, with the bound of a central queue on the same arrivals. " +
-			"A variant is NAME:FIELD=VALUE,... of choices, bounces, slack, hold, order, entries.",
+			"A variant is NAME:FIELD=VALUE,... of choices, bounces, slack, hold, order, entries, worse.",
 		flags: &compareCommand{},
 	})
 }
@@ -36,6 +37,8 @@
 	Agents   int           `long:"agents" default:"11" description:"agents of 8 slots"`
 	Entries  int           `long:"entries" default:"2" description:"entries, where the variant names none"`
 	Duration time.Duration `long:"duration" short:"d" default:"6s" description:"how long jobs arrive in each run"`
+	Slow     float64       `long:"slow" description:"factor by which the first backend server is slower"`
+	Failing  bool          `long:"failing" description:"the first backend server fails every task at once"`
 	Burst    float64       `long:"burst" description:"factor of the rate in bursts of 2 s every 10 s"`
 }
 
@@ -131,6 +134,10 @@
 		return err
 	}
 	switch field {
+	case "worse":
+		f, err := strconv.ParseFloat(value, 64)
+		v.entry.Worse = f
+		return err
 	case "hold":
 		d, err := time.ParseDuration(value)
 		v.backend.Hold = config.Duration(d)
@@ -139,7 +146,7 @@
 		v.backend.Order = value
 		return nil
 	}
-	return fmt.Errorf("no field %q (allowed: choices, bounces, slack, hold, order, entries)", field)
+	return fmt.Errorf("no field %q (allowed: choices, bounces, slack, hold, order, entries, worse)", field)
 }
 
 func (c *compareCommand) once(ctx context.Context, v variant, plan load.Plan) (load.Summary, error) {
@@ -157,6 +164,7 @@
 		return load.Summary{}, err
 	}
 	defer cluster.Close()
+	cluster.Backends[0].SetFaults(fakebackend.Faults{SlowFactor: c.Slow, FastFail: c.Failing})
 	plan.Entries = cluster.URLs()
 	l := loadCommand{Quiet: true, Scrape: cluster.ScrapeURLs()}
 	return l.once(ctx, plan), nil
@@ -164,6 +172,9 @@
 
 func (c *compareCommand) print(variants []variant, results [][]load.Summary, bounds []load.Summary) {
 	fmt.Printf("%d rounds, %d agents of %d slots, load %.0f %%, fan-out %s, task time %s ms", c.Rounds, c.Agents, slotsEach, 100*c.Load, c.FanOut, c.TaskTime)
+	if c.Slow > 0 || c.Failing {
+		fmt.Printf(", one backend server slower %gx or failing (%t)", c.Slow, c.Failing)
+	}
 	if c.Burst > 0 {
 		fmt.Printf(", bursts of %gx", c.Burst)
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -209,6 +209,7 @@
 	c.expireJobs(now)
 	c.placeDue(now)
 	c.watch(now)
+	c.agents.Judge(now)
 	c.forget(now)
 	c.rate.roll(now)
 }
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -81,6 +81,7 @@
 	c.acknowledgeLeave(agent, m.Load)
 	var ends []ending
 	for i := range m.Items {
+		c.observe(agent, &m.Items[i])
 		if e, failed := c.result(now, agent, &m.Items[i]); failed {
 			ends = append(ends, e)
 		}
@@ -93,6 +94,14 @@
 	c.placeDue(now)
 }
 
+// observe has the agent judged by a task that ran there.
+func (c *Core) observe(agent string, m *wire.Result) {
+	if failure.Ran(m.Ran) == failure.DidRun {
+		failed := failure.Kind(m.Kind) == failure.TaskFailed || failure.Kind(m.Kind) == failure.BadAnswer
+		c.agents.Observe(agent, time.Duration(m.RunMicros)*time.Microsecond, failed)
+	}
+}
+
 // acknowledgeLeave tells an agent that leaves that no task comes after this.
 func (c *Core) acknowledgeLeave(agent string, l wire.Load) {
 	if p := c.peers[agent]; p != nil && l.Leaving && !p.leaving {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -165,7 +165,14 @@
 		KeepBytes:   c.Bytes,
 		KeepFor:     c.KeepFor.D(),
 		MaxFetched:  e.cfg.Peers.MaxFrame / 2,
-		Policy:      placement.Policy{Choices: e.cfg.Placement.Choices},
+		Policy:      policyOf(e.cfg.Placement),
+	}
+}
+
+func policyOf(p config.Placement) placement.Policy {
+	return placement.Policy{
+		Choices: p.Choices,
+		Judging: placement.Judging{Worse: p.Worse, Share: p.WorseShare, Trickle: p.Trickle},
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -22,11 +23,13 @@
 	Outstanding int  // tasks placed by this entry and not answered
 
 	others int // tasks of other entries, as last reported
+	seen   seen
 }
 
-// load is the number of tasks ahead of a new one, per slot.
+// load is the number of tasks per slot once a new one is there, as much
+// greater as the agent is held back.
 func (a *Agent) load() float64 {
-	return float64(a.Outstanding+a.others) / float64(max(1, a.Slots))
+	return float64(a.Outstanding+a.others+1) / float64(max(1, a.Slots)) * max(1, a.seen.factor)
 }
 
 // Policy is the setting of the choice.
@@ -35,6 +38,7 @@
 	// loaded gets the task: 1 is random, 2 the power of two choices. Zero
 	// looks at all agents of the pool.
 	Choices int
+	Judging Judging
 }
 
 // Set holds the agents that can be reached. It is not safe for use by several
@@ -45,6 +49,7 @@
 	byID   map[string]*Agent
 	all    []*Agent
 	pools  map[string][]*Agent
+	judged time.Time
 }
 
 // New returns an empty set. rng makes the random choices.
@@ -114,7 +119,10 @@
 // counts the task as placed there. It returns nil when there is none.
 func (s *Set) Pick(pool string, avoid []string) *Agent {
 	agents := s.pools[pool]
-	best := s.draw(agents, avoid)
+	best := s.trickle(agents, avoid)
+	if best == nil {
+		best = s.draw(agents, avoid)
+	}
 	if best == nil {
 		best = s.scan(agents, avoid)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -74,3 +75,61 @@
 		Expect(s.All()).To(HaveLen(3))
 	})
 })
+
+var _ = Describe("a bad backend server (hazards 18 and 19)", func() {
+	judging := placement.Judging{Worse: 3, Share: 0.4, Trickle: 0.01}
+	var s *placement.Set
+	now := time.Unix(1_800_000_000, 0)
+	BeforeEach(func() {
+		s = placement.New(placement.Policy{Judging: judging}, rand.New(rand.NewPCG(1, 1)))
+		for i := range 11 {
+			s.Add(&placement.Agent{ID: fmt.Sprint(i), Pool: "p", Slots: 8})
+		}
+	})
+	// share has n tasks placed and ended one by one; agent 0 takes run and fails
+	// as told. It returns the share of tasks that agent 0 got.
+	share := func(n int, run time.Duration, failed bool) float64 {
+		got := 0
+		for range n {
+			a := s.Pick("p", nil)
+			s.Return(a.ID, 1)
+			if a.ID == "0" {
+				got++
+				s.Observe(a.ID, run, failed)
+			} else {
+				s.Observe(a.ID, 50*time.Millisecond, false)
+			}
+			now = now.Add(5 * time.Millisecond)
+			s.Judge(now)
+		}
+		return float64(got) / float64(n)
+	}
+
+	It("that straggles gets a trickle, and its share again when it is well", func() {
+		share(500, 500*time.Millisecond, false)
+		Expect(s.HeldBack()).To(Equal(1))
+		Expect(share(2000, 500*time.Millisecond, false)).To(BeNumerically("<", 0.02))
+		share(6000, 50*time.Millisecond, false)
+		Expect(s.HeldBack()).To(BeZero())
+		Expect(share(2000, 50*time.Millisecond, false)).To(BeNumerically(">", 0.05))
+	})
+
+	It("that fails fast draws no traffic", func() {
+		share(500, time.Millisecond, true)
+		Expect(share(2000, time.Millisecond, true)).To(BeNumerically("<", 0.02))
+	})
+
+	It("is not believed in when too many seem bad (hazard 28)", func() {
+		for range 20 {
+			for i := range 11 {
+				run := 50 * time.Millisecond
+				if i < 5 {
+					run = time.Second
+				}
+				s.Observe(fmt.Sprint(i), run, false)
+			}
+		}
+		s.Judge(now.Add(time.Hour))
+		Expect(s.HeldBack()).To(BeZero())
+	})
+})
