queue: put small jobs first in place of serving jobs in turn

Cause: serving the jobs of a team in turn made all jobs of a busy time end late together.

Change: within a team tasks stand by their arrival plus 10 ms for each task of the job that came with them.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	eventBacklog = 4096
+	eventBacklog = 512
 	eventBatch   = 512 // events taken before results are sent
 	tickEvery    = 5 * time.Millisecond
 	flushTimeout = time.Second
@@ -192,6 +192,7 @@
 		Incarnation: a.incarnation,
 		Pool:        a.cfg.Backend.Pool,
 		Slots:       uint32(a.cfg.Backend.Slots),
+		Queue:       uint32(a.cfg.Backend.Queue),
 		Assignment:  a.assignment,
 		UnixMicros:  time.Now().UnixMicro(),
 	}
--- a/capacity/cores.go
+++ b/capacity/cores.go
@@ -126,7 +126,7 @@
 func newEntry(agents int) *dispatch.Core {
 	s := dispatch.Settings{
 		Self: claim.Owner{Address: "e", Incarnation: "i"}, Teams: []string{"t"}, Pools: []string{"p"},
-		MaxTasks: 1 << 30, MaxClaims: 1 << 30, ClaimWait: time.Hour, FetchWait: time.Hour,
+		MaxTasks: 1 << 30, MaxWait: time.Hour, MaxClaims: 1 << 30, ClaimWait: time.Hour, FetchWait: time.Hour,
 		PingAfter: time.Hour, PingWait: time.Hour, SilentShare: 1, Attempts: 3, RetryRatio: 1, RetryBurst: 100,
 		KeepAnswers: 1 << 30, KeepBytes: 1 << 40, KeepFor: time.Hour, MaxFetched: 1 << 20,
 	}
@@ -135,7 +135,7 @@
 	}
 	c := dispatch.New(s, quiet{}, rand.New(rand.NewPCG(1, 1)))
 	for _, h := range s.Holders {
-		c.PeerUp(origin, h, &wire.Hello{Role: wire.RoleAgent, Pool: "p", Slots: 8})
+		c.PeerUp(origin, h, &wire.Hello{Role: wire.RoleAgent, Pool: "p", Slots: 8, Queue: 1 << 20})
 	}
 	return c
 }
--- a/config/claims.go
+++ b/config/claims.go
@@ -19,7 +19,7 @@
 // DefaultClaims returns the defaults of Claims.
 func DefaultClaims() Claims {
 	return Claims{
-		Entries: 200000,
+		Entries: 100000,
 		Window:  Duration(10 * time.Minute),
 		Wait:    Duration(250 * time.Millisecond),
 		Pending: 20000,
--- a/config/jobs.go
+++ b/config/jobs.go
@@ -9,6 +9,7 @@
 	MaxTasks       int      `json:"max_tasks"`       // in a submission
 	MaxPayload     int      `json:"max_payload"`     // bytes of one payload
 	MaxRunning     int      `json:"max_running"`     // tasks that one entry holds
+	MaxWait        Duration `json:"max_wait"`        // for a slot, beyond which new jobs are refused
 	MaxTimeout     Duration `json:"max_timeout"`     // until a deadline
 	DefaultTimeout Duration `json:"default_timeout"` // when the caller names none
 	Grace          Duration `json:"grace"`           // after a deadline, for the agents' word
@@ -26,6 +27,7 @@
 		MaxTasks:       150,
 		MaxPayload:     64 << 10,
 		MaxRunning:     50000,
+		MaxWait:        Duration(time.Second),
 		MaxTimeout:     Duration(time.Minute),
 		DefaultTimeout: Duration(10 * time.Second),
 		Grace:          Duration(50 * time.Millisecond),
@@ -44,6 +46,7 @@
 	between(c, "jobs.max_tasks", j.MaxTasks, 1, 4096)
 	between(c, "jobs.max_payload", j.MaxPayload, 16, 1<<20)
 	between(c, "jobs.max_running", j.MaxRunning, 1, 1000000)
+	c.span("jobs.max_wait", j.MaxWait, Duration(time.Millisecond), Duration(time.Hour))
 	c.span("jobs.max_timeout", j.MaxTimeout, Duration(time.Second), Duration(time.Hour))
 	c.span("jobs.default_timeout", j.DefaultTimeout, Duration(time.Millisecond), j.MaxTimeout)
 	c.span("jobs.grace", j.Grace, Duration(time.Millisecond), Duration(5*time.Second))
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -27,6 +27,7 @@
 	Teams       []string
 	Pools       []string
 	MaxTasks    int           // tasks of unfinished jobs, at most
+	MaxWait     time.Duration // of a new job's last task for a slot, by our knowledge
 	MaxClaims   int           // claims asked and not answered, at most
 	ClaimWait   time.Duration // for the holder's answer to a claim
 	FetchWait   time.Duration // for a link to another entry
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -13,7 +13,12 @@
 	c.peers[peer] = &peerState{up: true, incarnation: h.Incarnation, heard: now}
 	if h.Role == wire.RoleAgent {
 		c.agents.Add(&placement.Agent{
-			ID: peer, Pool: h.Pool, DataCentre: h.DataCentre, Slots: int(h.Slots), Leaving: h.Leaving,
+			ID:         peer,
+			Pool:       h.Pool,
+			DataCentre: h.DataCentre,
+			Slots:      int(h.Slots),
+			Queue:      int(h.Queue),
+			Leaving:    h.Leaving,
 		})
 	}
 	c.sendFetches(peer, h.Incarnation)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -52,8 +52,8 @@
 // admit decides about a submission that was granted to this entry: whatever is
 // refused here never ran and never will.
 func (c *Core) admit(now time.Time, r *record) {
-	if k, reason := c.reasonToRefuse(now, r.sub); k != failure.None {
-		c.settle(now, r, refusal(r, k, reason, failure.NotRun, c.pauseFor(k)))
+	if e := c.reasonToRefuse(now, r.sub); e != nil {
+		c.settle(now, r, job.Refusal(r.sub.ID, e, failure.NotRun))
 		return
 	}
 	c.lastJob++
@@ -65,18 +65,39 @@
 	c.placeAll(now, r)
 }
 
-func (c *Core) reasonToRefuse(now time.Time, s *job.Submission) (failure.Kind, string) {
+func (c *Core) reasonToRefuse(now time.Time, s *job.Submission) *failure.Error {
 	switch {
 	case !c.teams[s.Team]:
-		return failure.UnknownTeam, "no team is named " + s.Team
+		return failure.New(failure.UnknownTeam, "no team is named "+s.Team)
 	case !c.pools[s.Pool]:
-		return failure.UnknownPool, "no pool is named " + s.Pool
+		return failure.New(failure.UnknownPool, "no pool is named "+s.Pool)
 	case !now.Before(s.Deadline):
-		return failure.DeadlinePast, "the deadline has passed"
+		return failure.New(failure.DeadlinePast, "the deadline has passed")
 	case c.running+len(s.Payloads) > c.set.MaxTasks:
-		return failure.Overloaded, "this entry holds as many tasks as it may"
+		return c.overloaded("this entry holds as many tasks as it may", c.comeBack())
 	}
-	return failure.None, ""
+	return c.tooLate(now, s)
+}
+
+// tooLate refuses a whole job that would wait too long in the pool, before any
+// of its tasks has run for nothing.
+func (c *Core) tooLate(now time.Time, s *job.Submission) *failure.Error {
+	p := c.agents.State(s.Pool)
+	n := len(s.Payloads)
+	if p.Slots == 0 {
+		return nil // placing it will tell
+	}
+	wait := p.Wait(n)
+	if wait <= c.set.MaxWait && now.Add(wait+p.Run).Before(s.Deadline) && !p.Full(n) {
+		return nil
+	}
+	return c.overloaded("the pool is too busy for the job to be done in time", c.spread(wait-c.set.MaxWait/2))
+}
+
+func (c *Core) overloaded(reason string, after time.Duration) *failure.Error {
+	e := failure.New(failure.Overloaded, reason)
+	e.RetryAfter = after
+	return e
 }
 
 // pauseFor returns when to come back after a refusal of the kind, zero where
@@ -98,7 +119,11 @@
 // comeBack estimates when the tasks held now will be done, with jitter so that
 // the refused do not all return at once.
 func (c *Core) comeBack() time.Duration {
-	d := c.rate.timeFor(c.running)
+	return c.spread(c.rate.timeFor(c.running))
+}
+
+// spread bounds a pause and spreads it from half to one and a half times.
+func (c *Core) spread(d time.Duration) time.Duration {
 	d = min(max(d, minPause), maxPause)
 	return d/2 + time.Duration(c.rng.Int64N(int64(d)))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	eventBacklog = 8192
+	eventBacklog = 4096
 	eventBatch   = 512 // events taken before messages are sent
 	tickEvery    = 5 * time.Millisecond
 	flushTimeout = time.Second
@@ -148,6 +148,7 @@
 		Teams:       j.Teams,
 		Pools:       j.Pools,
 		MaxTasks:    j.MaxRunning,
+		MaxWait:     j.MaxWait.D(),
 		MaxClaims:   c.Pending,
 		ClaimWait:   c.Wait.D(),
 		FetchWait:   c.Wait.D(),
--- a/load/report.go
+++ b/load/report.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/lichenfall/lichenfall/failure"
 	"github.com/lichenfall/lichenfall/job"
 )
 
@@ -29,6 +30,7 @@
 	jobs     int
 	tasks    int
 	complete int
+	done     int // tasks of complete jobs
 	wrong    int
 	kinds    map[string]int // failures by kind; "no_answer" for errors of transport
 	ran      map[string]int // failures by what they say of having run
@@ -37,13 +39,14 @@
 	over     *hdrhistogram.Histogram
 	single   *hdrhistogram.Histogram // over ideal, of jobs of one task
 	ratio    *hdrhistogram.Histogram // thousandths
+	refused  *hdrhistogram.Histogram // time of answers that say "not run"
 }
 
 func newReport(p Plan) *Report {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(histLow, histHigh, histDigits) }
 	return &Report{
 		Plan: p, kinds: make(map[string]int), ran: make(map[string]int), resends: make(map[string]int),
-		latency: h(), over: h(), single: h(), ratio: h(),
+		latency: h(), over: h(), single: h(), ratio: h(), refused: h(),
 	}
 }
 
@@ -60,10 +63,14 @@
 	case a.Error != nil:
 		r.kinds[a.Error.Kind]++
 		r.ran[a.Error.Ran]++
+		if a.Error.Ran == failure.NotRun.String() {
+			_ = r.refused.RecordValue(max(histLow, took.Microseconds()))
+		}
 	case !right(q, a):
 		r.wrong++
 	default:
 		r.complete++
+		r.done += len(q.Tasks)
 		_ = r.latency.RecordValue(max(histLow, took.Microseconds()))
 		_ = r.over.RecordValue(max(histLow, (took - ideal).Microseconds()))
 		if len(q.Tasks) == 1 {
@@ -114,6 +121,7 @@
 	Jobs       int            `json:"jobs"`
 	Tasks      int            `json:"tasks"`
 	Complete   int            `json:"complete"`
+	Goodput    float64        `json:"goodput"` // tasks of complete jobs a second
 	Wrong      int            `json:"wrong"`
 	Failed     map[string]int `json:"failed"`
 	FailedRan  map[string]int `json:"failed_ran"`
@@ -122,6 +130,7 @@
 	OverMS     Quantiles      `json:"over_ideal_ms"`        // beyond the longest task's own time
 	SingleMS   Quantiles      `json:"over_ideal_single_ms"` // the same, of jobs of one task
 	Ratio      Quantiles      `json:"ratio_to_ideal"`
+	RefusedMS  Quantiles      `json:"refused_ms"` // time of answers that say "not run"
 	// Messages is the number of messages between processes for each task, by
 	// kind; empty when no process was scraped.
 	Messages map[string]float64 `json:"messages_per_task,omitempty"`
@@ -141,6 +150,7 @@
 		Jobs:       r.jobs,
 		Tasks:      r.tasks,
 		Complete:   r.complete,
+		Goodput:    float64(r.done) / max(r.Elapsed.Seconds(), 1e-9),
 		Wrong:      r.wrong,
 		Failed:     copyCounts(r.kinds),
 		FailedRan:  copyCounts(r.ran),
@@ -149,6 +159,7 @@
 		OverMS:     quantiles(r.over),
 		SingleMS:   quantiles(r.single),
 		Ratio:      quantiles(r.ratio),
+		RefusedMS:  quantiles(r.refused),
 	}
 }
 
@@ -180,6 +191,7 @@
 	writeQuantiles(w, "over ideal ms", s.OverMS)
 	writeQuantiles(w, "  of single tasks", s.SingleMS)
 	writeQuantiles(w, "ratio to ideal", s.Ratio)
+	writeQuantiles(w, "refused ms", s.RefusedMS)
 	for _, k := range messageKinds([]Summary{s}) {
 		fmt.Fprintf(w, "messages/task %-12s %.4f\n", k, s.Messages[k])
 	}
--- a/local/local_test.go
+++ b/local/local_test.go
@@ -307,6 +307,13 @@
 		Expect(s.Backends[0].Journal()).To(HaveLen(before))
 	})
 
+	It("waits for an answer longer than it gives a caller to send the request", func() {
+		s := start(1, 1, func(o *local.Options) {
+			o.Entry = func(c *config.Entry) { c.HTTP.BodyTimeout = config.Duration(300 * time.Millisecond) }
+		})
+		Expect(s.submit(0, request(`{"sleep_ms":1500,"echo":7}`)).State).To(Equal(job.Complete))
+	})
+
 	It("tells any entry's caller the state of a submission", func() {
 		s := start(2, 2, nil)
 		r := request(`{"sleep_ms":500}`)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,6 +17,7 @@
 	Pool        string
 	DataCentre  string
 	Slots       int
+	Queue       int  // tasks that may wait there
 	Leaving     bool // says so itself; for good
 	ListLeaving bool // the platform's box list says so
 	Silent      bool // does not answer
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -1,8 +1,15 @@
 package queue
 
-// fair is a queue that serves teams in turn, within a team its jobs in turn,
-// and within a job its tasks in their order, so that a single task does not
-// wait behind a burst of 150, nor one team behind another.
+import (
+	"slices"
+	"time"
+)
+
+// fair is a queue that serves teams in turn. Within a team a task stands by the
+// time of its coming plus a handicap for each task of its job that came with
+// it, so that a single task does not wait behind a burst of 150 while jobs of
+// like size keep the order of their coming, and no job is overtaken for longer
+// than its own handicap.
 type fair struct {
 	// inOrder makes it a plain first-in first-out queue.
 	inOrder bool
@@ -10,26 +17,34 @@
 	n       int
 }
 
-type teamQueue struct {
-	name string
-	jobs []*jobQueue // the one to be served next is first
-}
+// handicap is about what a task costs those behind it: its time divided by the
+// slots that work.
+const handicap = 10 * time.Millisecond
 
-type jobQueue struct {
-	key   jobKey
-	tasks []*Task
+type teamQueue struct {
+	name  string
+	tasks []*Task // by their turn
 }
 
 func (f *fair) len() int { return f.n }
 
-func (f *fair) push(t *Task) {
+// push adds a task that came now with others of its job, size in all.
+func (f *fair) push(now time.Time, t *Task, size int) {
 	f.n++
-	team, key := t.Team, jobKey{t.Link, t.Job}
-	if f.inOrder {
-		team, key = "", jobKey{}
+	t.turn = now
+	name := ""
+	if !f.inOrder {
+		t.turn = now.Add(time.Duration(size) * handicap)
+		name = t.Team
 	}
-	j := f.team(team).job(key)
-	j.tasks = append(j.tasks, t)
+	q := f.team(name)
+	at, _ := slices.BinarySearchFunc(q.tasks, t.turn, func(other *Task, turn time.Time) int {
+		if other.turn.After(turn) {
+			return 1
+		}
+		return -1 // behind those of the same turn
+	})
+	q.tasks = slices.Insert(q.tasks, at, t)
 }
 
 func (f *fair) team(name string) *teamQueue {
@@ -43,75 +58,36 @@
 	return q
 }
 
-func (q *teamQueue) job(key jobKey) *jobQueue {
-	for _, j := range q.jobs {
-		if j.key == key {
-			return j
-		}
-	}
-	j := &jobQueue{key: key}
-	q.jobs = append(q.jobs, j)
-	return j
-}
-
 // pop removes the task to be served next; nil when there is none.
 func (f *fair) pop() *Task {
 	if f.n == 0 {
 		return nil
 	}
 	f.n--
-	team := f.teams[0]
+	q := f.teams[0]
 	f.teams = f.teams[1:]
-	t, empty := team.pop()
-	if !empty {
-		f.teams = append(f.teams, team)
+	t := q.tasks[0]
+	q.tasks[0] = nil
+	q.tasks = q.tasks[1:]
+	if len(q.tasks) > 0 {
+		f.teams = append(f.teams, q)
 	}
 	return t
 }
 
-func (q *teamQueue) pop() (t *Task, empty bool) {
-	j := q.jobs[0]
-	q.jobs = q.jobs[1:]
-	t = j.tasks[0]
-	j.tasks[0] = nil
-	j.tasks = j.tasks[1:]
-	if len(j.tasks) > 0 {
-		q.jobs = append(q.jobs, j)
-	}
-	return t, len(q.jobs) == 0
-}
-
-// remove takes out the tasks that match and returns them in the order in which
-// they stand.
+// remove takes out the tasks that match and returns them, by team and turn.
 func (f *fair) remove(match func(*Task) bool) []*Task {
 	var out []*Task
-	teams := f.teams[:0]
-	for _, team := range f.teams {
-		jobs := team.jobs[:0]
-		for _, j := range team.jobs {
-			var kept []*Task
-			kept, out = split(j.tasks, match, out)
-			if j.tasks = kept; len(kept) > 0 {
-				jobs = append(jobs, j)
+	for _, q := range f.teams {
+		q.tasks = slices.DeleteFunc(q.tasks, func(t *Task) bool {
+			if match(t) {
+				out = append(out, t)
+				return true
 			}
-		}
-		if team.jobs = jobs; len(jobs) > 0 {
-			teams = append(teams, team)
-		}
+			return false
+		})
 	}
-	f.teams = teams
+	f.teams = slices.DeleteFunc(f.teams, func(q *teamQueue) bool { return len(q.tasks) == 0 })
 	f.n -= len(out)
 	return out
 }
-
-// split sorts tasks into those kept and those that match, which it adds to out.
-func split(tasks []*Task, match func(*Task) bool, out []*Task) (kept, matched []*Task) {
-	for _, t := range tasks {
-		if match(t) {
-			out = append(out, t)
-		} else {
-			kept = append(kept, t)
-		}
-	}
-	return kept, out
-}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -44,6 +44,8 @@
 	NotRepeatable bool
 	StartedAt     time.Time
 
+	turn time.Time // its place in the queue
+
 	state State
 }
 
@@ -63,7 +65,8 @@
 	// Hold is how long an answer may wait for those of the same job's other
 	// tasks here, without which the job cannot be answered anyway.
 	Hold time.Duration
-	// InOrder serves tasks as they came, in place of teams and jobs in turn.
+	// InOrder serves tasks as they came, in place of teams in turn and small jobs
+	// first.
 	InOrder bool
 }
 
@@ -159,7 +162,7 @@
 			Deadline:      deadline,
 			NotRepeatable: p.NotRepeatable,
 		}
-		q.admit(now, t, p.MaxQueue)
+		q.admit(now, t, p.MaxQueue, len(p.Tasks))
 	}
 	return true
 }
@@ -187,7 +190,7 @@
 
 // admit looks first for another copy of the task: a task that may have started
 // must not be called "not run" for any other reason.
-func (q *Queue) admit(now time.Time, t *Task, maxQueue uint32) {
+func (q *Queue) admit(now time.Time, t *Task, maxQueue uint32, size int) {
 	switch {
 	case q.tasks[t.Key] != nil:
 		q.reply(t, Outcome{Kind: failure.Duplicate, Ran: failure.RanUnknown, Reason: "placed twice on one link"}, 0)
@@ -204,7 +207,7 @@
 		q.tasks[t.Key] = t
 		q.link(t.Link).held++
 		q.job(t).open++
-		q.waiting.push(t)
+		q.waiting.push(now, t, size)
 	}
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -35,6 +35,7 @@
 	Address     string // where the process listens for its peers
 	Pool        string // agents only: the pool that its backend server serves
 	Slots       uint32 // agents only
+	Queue       uint32 // agents only: tasks that may wait
 	Leaving     bool   // agents only: takes no new work
 	Assignment  uint64 // digest of the list of claim holders
 	UnixMicros  int64  // the sender's wall clock, when sent
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -76,8 +76,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendUint32(o, z.Version)
 	o = msgp.AppendUint8(o, uint8(z.Role))
 	o = msgp.AppendString(o, z.Box)
@@ -86,6 +86,7 @@
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.Pool)
 	o = msgp.AppendUint32(o, z.Slots)
+	o = msgp.AppendUint32(o, z.Queue)
 	o = msgp.AppendBool(o, z.Leaving)
 	o = msgp.AppendUint64(o, z.Assignment)
 	o = msgp.AppendInt64(o, z.UnixMicros)
@@ -100,8 +101,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.Version, bts, err = msgp.ReadUint32Bytes(bts)
@@ -148,6 +149,11 @@
 		err = msgp.WrapError(err, "Slots")
 		return
 	}
+	z.Queue, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
 	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Leaving")
@@ -169,7 +175,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Box) + msgp.StringPrefixSize + len(z.DataCentre) + msgp.StringPrefixSize + len(z.Incarnation) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Pool) + msgp.Uint32Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size
+	s = 1 + msgp.Uint32Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Box) + msgp.StringPrefixSize + len(z.DataCentre) + msgp.StringPrefixSize + len(z.Incarnation) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Pool) + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size
 	return
 }
 
