--- a/claim/id.go
+++ b/claim/id.go
@@ -6,6 +6,7 @@
 package claim
 
 import (
+	"encoding/binary"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,7 @@
 	timeMark     = "@"
 	uuidV7       = 7
 	hashSepBytes = "\x00"
+	hashBytes    = 8
 )
 
 // IDTime returns the time that an ID carries, to the millisecond.
@@ -50,8 +52,11 @@
 func HolderOf(id string, members []string) string {
 	var best string
 	var top uint64
+	var both [2 * hashBytes]byte
+	binary.BigEndian.PutUint64(both[hashBytes:], xxhash.Sum64String(id))
 	for _, m := range members {
-		h := xxhash.Sum64String(m + hashSepBytes + id)
+		binary.BigEndian.PutUint64(both[:], xxhash.Sum64String(m))
+		h := xxhash.Sum64(both[:])
 		if best == "" || h > top || h == top && m < best {
 			best, top = m, h
 		}
