agent: begin the table of claims only when the address is held

Cause: found by reading: the table began before the agent listened. While a new process stood still between the two, a predecessor that still held the address could have granted IDs beyond the new table's fence.

No test: the order is one of construction, and a predecessor that lives makes the bind fail.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -69,13 +69,9 @@
 		loop:        loop.New[event](eventBacklog),
 		stopped:     make(chan struct{}),
 		queue:       queue.New(queueLimits(cfg), asserter{count, log}),
-		claims: claim.Holder{
-			Table:      claim.New(time.Now(), claimLimits(cfg)),
-			Assignment: claim.Assignment(cfg.Claims.Holders),
-		},
-		links:  make(map[queue.Link]*peer.Conn),
-		told:   make(map[queue.Link]bool),
-		byConn: make(map[*peer.Conn]queue.Link),
+		links:       make(map[queue.Link]*peer.Conn),
+		told:        make(map[queue.Link]bool),
+		byConn:      make(map[*peer.Conn]queue.Link),
 	}
 	a.halt, a.kill = context.WithCancel(context.Background())
 	if err := a.listen(); err != nil {
@@ -83,6 +79,9 @@
 		registry.Close()
 		return nil, err
 	}
+	// Only now, when we hold the address, is a predecessor there surely dead. Had
+	// the table begun earlier, it might have granted IDs beyond its fence since.
+	a.claims = claim.Holder{Table: claim.New(time.Now(), claimLimits(cfg)), Assignment: a.assignment}
 	a.listener.Serve(a.hello, a)
 	go a.loop.Run(a.halt.Done(), tickEvery, loop.Steps[event]{Handle: a.handle, Tick: a.tick, Perform: a.perform})
 	go a.pollUsage()
