--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,12 +17,12 @@
 	"github.com/lichenfall/lichenfall/dispatch"
 	"github.com/lichenfall/lichenfall/job"
 	"github.com/lichenfall/lichenfall/logging"
+	"github.com/lichenfall/lichenfall/logservice"
 	"github.com/lichenfall/lichenfall/loop"
 	"github.com/lichenfall/lichenfall/membership"
 	"github.com/lichenfall/lichenfall/metrics"
 	"github.com/lichenfall/lichenfall/peer"
 	"github.com/lichenfall/lichenfall/placement"
-	"github.com/lichenfall/lichenfall/platform"
 	"github.com/lichenfall/lichenfall/retry"
 	"github.com/lichenfall/lichenfall/web"
 	"github.com/lichenfall/lichenfall/wire"
@@ -46,7 +46,7 @@
 	peerOpts    peer.Options
 	listener    *peer.Listener
 	http        *web.Server
-	platform    *platform.Client // nil when the settings name none
+	platform    *logservice.Client // nil when the settings name none
 	loop        *loop.Loop[event]
 	halt        context.Context // ends with Kill
 	kill        context.CancelFunc
@@ -87,7 +87,7 @@
 		e.dial(agent)
 	}
 	if cfg.Platform.URL != "" {
-		e.platform = platform.New(cfg.Platform.URL, cfg.Platform.Limit.D())
+		e.platform = logservice.New(cfg.Platform.URL, cfg.Platform.Limit.D())
 		go e.pollBoxes()
 	}
 	e.listener.Serve(e.hello, inbound{e})
--- a/failure/kind.go
+++ b/failure/kind.go
@@ -36,6 +36,13 @@
 	BadAnswer
 	AnswerTooLarge
 	AgentLost
+	UnknownQueue
+	NoConfiguration
+	JobNotFound
+	NoOwner
+	StoreUnavailable
+	CommitUnknown
+	Unsupported
 	Internal
 	kindCount
 )
@@ -126,6 +133,13 @@
 	{BadAnswer, "bad_answer", http.StatusBadGateway, DidRun, RetryNewID, "The backend server's answer is not JSON."},
 	{AnswerTooLarge, "answer_too_large", http.StatusBadGateway, DidRun, RetryNewID, "The backend server's answer is over the limit."},
 	{AgentLost, "agent_lost", http.StatusBadGateway, RanUnknown, RetryNewID, "The link to the agent broke while it held a task."},
+	{UnknownQueue, "unknown_queue", http.StatusNotFound, NotRun, RetryNever, "No queue of the configuration in force takes this host and path."},
+	{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, RanUnknown, RetrySameID, "The process has not read a configuration yet."},
+	{JobNotFound, "job_not_found", http.StatusGone, RanUnknown, RetryNever, "No job is kept under that ID."},
+	{NoOwner, "no_owner", http.StatusServiceUnavailable, RanUnknown, RetrySameID, "No coordinator that can be reached owns the job's partition now; this copy was not kept."},
+	{StoreUnavailable, "store_unavailable", http.StatusServiceUnavailable, NotRun, RetryNewID, "The store refused to keep the job; it will never run unless it is sent again."},
+	{CommitUnknown, "commit_unknown", http.StatusGatewayTimeout, RanUnknown, RetrySameID, "The store gave no answer in time; the job may be kept. The same ID sent again tells."},
+	{Unsupported, "unsupported", http.StatusUnprocessableEntity, NotRun, RetryNever, "The job asks for something that this version does not do; the answer names the field."},
 	{Internal, "internal", http.StatusInternalServerError, RanUnknown, RetryNever, "A fault of the program; see its log."},
 }
 
--- a/fakeplatform/platform.go
+++ b/fakeplatform/platform.go
@@ -16,8 +16,8 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
+	"github.com/lichenfall/lichenfall/logservice"
 	"github.com/lichenfall/lichenfall/membership"
-	"github.com/lichenfall/lichenfall/platform"
 	"github.com/lichenfall/lichenfall/web"
 )
 
@@ -52,7 +52,7 @@
 
 type stream struct {
 	first   uint64 // offset of the oldest record kept
-	records []platform.Record
+	records []logservice.Record
 }
 
 type listed struct {
@@ -148,7 +148,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	return c.JSON(http.StatusOK, platform.Appended{Offset: offset})
+	return c.JSON(http.StatusOK, logservice.Appended{Offset: offset})
 }
 
 func (p *Platform) add(now time.Time, name string, data []byte) (offset uint64, lose bool) {
@@ -156,7 +156,7 @@
 	defer p.mu.Unlock()
 	s := p.stream(now, name)
 	offset = s.first + uint64(len(s.records))
-	s.records = append(s.records, platform.Record{Offset: offset, Time: now, Data: data})
+	s.records = append(s.records, logservice.Record{Offset: offset, Time: now, Data: data})
 	return offset, p.rng.Float64() < p.faults.LoseAnswer
 }
 
@@ -188,9 +188,9 @@
 	s := p.stream(time.Now(), c.Param("stream"))
 	next := s.first + uint64(len(s.records))
 	if from < s.first {
-		return c.JSON(http.StatusGone, platform.Page{First: s.first, Next: next})
+		return c.JSON(http.StatusGone, logservice.Page{First: s.first, Next: next})
 	}
-	page := platform.Page{First: s.first, Next: next}
+	page := logservice.Page{First: s.first, Next: next}
 	if from < next {
 		kept := s.records[from-s.first:]
 		page.Records = kept[:min(len(kept), limit, maxPage)]
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -2,6 +2,10 @@
 package logging
 
 import (
+	"sync"
+	"sync/atomic"
+	"time"
+
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 )
@@ -10,6 +14,12 @@
 type Log struct {
 	*zap.Logger
 	Level zap.AtomicLevel // also an http.Handler: GET and PUT {"level":"debug"}
+
+	dropped    *atomic.Int64
+	mu         sync.Mutex // guards what follows
+	usualSince time.Time
+	usualLines int
+	leftOut    int64
 }
 
 // New returns a logger to standard error. level is debug, info, warn or error;
--- a/platform/client.go
+++ b/logservice/client.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform's service: its append-only log and
+// Package logservice speaks to the log service: its append-only log and
 // its list of boxes.
-package platform
+package logservice
 
 import (
 	"bytes"
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -52,7 +52,8 @@
 	Backlog      int           // messages that may wait to be sent; zero means DefaultBacklog
 	HelloTimeout time.Duration // zero means DefaultHelloTimeout
 	WriteTimeout time.Duration // zero means DefaultWriteTimeout
-	ClockBound   time.Duration // greatest difference to a peer's clock; zero means DefaultClockBound
+	ClockBound   time.Duration // greatest difference to a peer's clock; zero means DefaultClockBound, NoClockBound none
+	ReconnectMax time.Duration // longest pause before a lost peer is dialled again; zero means DefaultReconnectMax
 	Counter      Counter
 }
 
@@ -62,8 +63,12 @@
 	DefaultHelloTimeout = 2 * time.Second
 	DefaultWriteTimeout = 5 * time.Second
 	DefaultClockBound   = 500 * time.Millisecond
+	DefaultReconnectMax = 2 * time.Second
 )
 
+// NoClockBound is the ClockBound of peers whose clocks are not compared.
+const NoClockBound time.Duration = -1
+
 func (o Options) withDefaults() Options {
 	if o.MaxFrame == 0 {
 		o.MaxFrame = wire.DefaultMaxFrame
@@ -80,6 +85,9 @@
 	if o.ClockBound == 0 {
 		o.ClockBound = DefaultClockBound
 	}
+	if o.ReconnectMax == 0 {
+		o.ReconnectMax = DefaultReconnectMax
+	}
 	return o
 }
 
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -47,7 +47,7 @@
 		c.opts.Counter.Fault(faultVersion)
 		return nil, errs.New("peer speaks version %d, we speak %d", h.Version, wire.Version)
 	}
-	if !clockOK(h, time.Now(), c.opts.ClockBound) {
+	if c.opts.ClockBound != NoClockBound && !clockOK(h, time.Now(), c.opts.ClockBound) {
 		c.opts.Counter.Fault(faultClock)
 		return nil, ErrClock
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -12,7 +12,7 @@
 
 // reconnect spaces the attempts to reach a peer: soon at first, and with
 // jitter, so that a returning rack is not met by everyone at once.
-var reconnect = retry.Backoff{Base: 50 * time.Millisecond, Max: 2 * time.Second}
+const reconnectBase = 50 * time.Millisecond
 
 const dialTimeout = time.Second
 
@@ -20,6 +20,7 @@
 // breaks. hello is called for each connection.
 func Keep(ctx context.Context, addr string, opts Options, hello func() *wire.Hello, h Handler) {
 	opts = opts.withDefaults()
+	reconnect := retry.Backoff{Base: reconnectBase, Max: opts.ReconnectMax}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		if dialOnce(ctx, addr, opts, hello(), h) {
 			attempt = 0
@@ -40,7 +41,7 @@
 	defer stop()
 	start := time.Now()
 	err = c.serve(hello, h)
-	return err == nil || time.Since(start) > reconnect.Max
+	return err == nil || time.Since(start) > opts.ReconnectMax
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/runtable/owners.go
@@ -0,0 +1,298 @@
+package runtable
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// OwnerUp tells the table of a connection to a coordinator, under a name that
+// is used for no other connection.
+func (t *Table) OwnerUp(_ time.Time, name string) {
+	t.owners[name] = &owner{dirty: true}
+}
+
+// OwnerDown tells the table that the connection is lost. The owner's leases
+// run on.
+func (t *Table) OwnerDown(_ time.Time, name string) {
+	delete(t.owners, name)
+}
+
+// Heartbeat renews an owner's leases.
+func (t *Table) Heartbeat(now time.Time, name string, m *wire.OwnerHeartbeat) {
+	t.expire(now)
+	o := t.owners[name]
+	if o == nil {
+		return
+	}
+	o.heartbeatSeq = m.Seq
+	o.dirty = true
+	for _, claim := range m.Partitions {
+		if !t.claim(name, claim, m.Echo) {
+			o.fenced = append(o.fenced, claim.Partition)
+		}
+	}
+}
+
+// claim returns whether the owner may have the partition.
+func (t *Table) claim(name string, c wire.PartitionEpoch, echo int64) bool {
+	p := t.partitions[c.Partition]
+	if p == nil {
+		p = &ownership{}
+		t.partitions[c.Partition] = p
+	}
+	if c.Epoch < p.epoch {
+		return false
+	}
+	if c.Epoch > p.epoch || p.owner != name {
+		p.epoch = c.Epoch
+		p.owner = name
+		p.told = false
+	}
+	if echo > 0 {
+		expires := t.epoch.Add(time.Duration(echo)*time.Microsecond + t.cfg.OwnerLease)
+		if expires.After(p.expires) {
+			p.expires = expires
+		}
+	}
+	t.tellPartition(c.Partition, p)
+	return true
+}
+
+// tellPartition sends all that is known of the partition, once for each epoch
+// and connection, as soon as it is known for certain.
+func (t *Table) tellPartition(n uint32, p *ownership) {
+	if p.told || t.lapsing || !t.firstHold || t.owners[p.owner] == nil {
+		return
+	}
+	p.told = true
+	m := &wire.PartitionRuns{Partition: n, Epoch: p.epoch}
+	for ref, r := range t.runs {
+		if r.partition == n {
+			m.Running = append(m.Running, ref)
+		}
+	}
+	for _, e := range t.ends {
+		if e.partition == n && !e.kept {
+			m.Ended = append(m.Ended, e.told)
+		}
+	}
+	t.send(p.owner, m)
+}
+
+// tellAll sends what could not be told before.
+func (t *Table) tellAll() {
+	for n, p := range t.partitions {
+		t.tellPartition(n, p)
+	}
+}
+
+// valid returns the ownership under which the order may be carried out.
+func (t *Table) valid(now time.Time, name string, order *wire.RunOrder, partition uint32) bool {
+	p := t.partitions[partition]
+	return p != nil && p.owner == name && p.epoch == order.Epoch && p.told && now.Before(p.expires)
+}
+
+// Start takes orders of an owner.
+func (t *Table) Start(now time.Time, name string, m *wire.StartRuns) {
+	t.expire(now)
+	o := t.owners[name]
+	if o == nil {
+		return
+	}
+	o.startSeq = m.Seq
+	o.dirty = true
+	for i := range m.Runs {
+		t.take(now, name, &m.Runs[i])
+	}
+}
+
+func (t *Table) take(now time.Time, name string, order *wire.RunOrder) {
+	partition := order.Ref.Task.Job.Partition(t.cfg.Partitions)
+	if t.runs[order.Ref] != nil {
+		return
+	}
+	reason := ""
+	switch {
+	case !t.valid(now, name, order, partition):
+		reason = "no_lease"
+	case !t.canStart():
+		reason = "not_ready"
+	case len(t.waiting) >= t.cfg.MaxWaiting:
+		reason = "busy"
+	}
+	if reason != "" {
+		t.note("run_refused", order.Ref, reason)
+		t.tell(name, wire.RunEnd{Ref: order.Ref, How: uint8(wire.EndNotRun), Reason: reason})
+		return
+	}
+	r := &run{order: *order, partition: partition, due: now.Add(time.Duration(order.DueMS) * time.Millisecond)}
+	t.runs[order.Ref] = r
+	t.waiting = append(t.waiting, r)
+}
+
+// Stop takes orders of an owner to stop runs.
+func (t *Table) Stop(now time.Time, name string, m *wire.StopRuns) {
+	t.expire(now)
+	for _, ref := range m.Runs {
+		r := t.runs[ref]
+		p := t.partitions[ref.Task.Job.Partition(t.cfg.Partitions)]
+		if r == nil || p == nil || p.owner != name {
+			continue
+		}
+		t.stopRun(now, r)
+	}
+}
+
+func (t *Table) stopRun(now time.Time, r *run) {
+	switch r.state {
+	case runWaiting:
+		t.dropWaiting(r)
+		delete(t.runs, r.order.Ref)
+		t.endRun(now, r, wire.EndNotRun, "stopped")
+	case runStarting:
+		r.stop = true
+	case runRunning:
+		t.sendStop(r)
+	}
+}
+
+func (t *Table) sendStop(r *run) {
+	r.state = runStopping
+	t.effects.Stops = append(t.effects.Stops, StopCall{Instance: t.identity.Instance, Ref: r.order.Ref, Token: t.token})
+}
+
+func (t *Table) dropWaiting(r *run) {
+	for i, w := range t.waiting {
+		if w == r {
+			t.waiting = append(t.waiting[:i], t.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Kept tells the table of ends that the backend server may forget.
+func (t *Table) Kept(_ time.Time, _ string, m *wire.EndsKept) {
+	kept := make(map[wire.RunRef]bool, len(m.Runs))
+	for _, ref := range m.Runs {
+		kept[ref] = true
+	}
+	for _, e := range t.ends {
+		if kept[e.told.Ref] {
+			e.kept = true
+		}
+	}
+	t.forget()
+}
+
+// forget drops ends that are kept up to the first that is not.
+func (t *Table) forget() {
+	before := t.acked
+	for {
+		e := t.ends[t.acked+1]
+		if e == nil || !e.kept {
+			break
+		}
+		t.acked++
+		delete(t.ends, t.acked)
+	}
+	if t.acked != before {
+		t.effects.Hold = true
+	}
+}
+
+// Tick does what is due by time.
+func (t *Table) Tick(now time.Time) {
+	t.expire(now)
+	t.finishLapse(now)
+	t.giveUpStarts(now)
+}
+
+// expire looks for owners whose lease is over while something of theirs is
+// here, and lets the backend server's lease lapse then.
+func (t *Table) expire(now time.Time) {
+	if t.lapsing || !t.known {
+		return
+	}
+	for n, p := range t.partitions {
+		if now.Before(p.expires) || !t.holds(n) {
+			continue
+		}
+		t.lapse(now, "owner_lease_ended")
+		return
+	}
+	if now.Sub(t.epoch) > t.cfg.FirstLease {
+		t.expireUnowned(now)
+	}
+}
+
+// expireUnowned lapses what an earlier process left here and nobody claims.
+func (t *Table) expireUnowned(now time.Time) {
+	for _, r := range t.runs {
+		if t.partitions[r.partition] == nil {
+			t.lapse(now, "no_owner")
+			return
+		}
+	}
+	for _, e := range t.ends {
+		if !e.kept && t.partitions[e.partition] == nil {
+			t.lapse(now, "no_owner")
+			return
+		}
+	}
+}
+
+// holds returns whether anything of the partition is here.
+func (t *Table) holds(partition uint32) bool {
+	for _, r := range t.runs {
+		if r.partition == partition {
+			return true
+		}
+	}
+	for _, e := range t.ends {
+		if e.partition == partition && !e.kept {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) lapse(now time.Time, reason string) {
+	t.lapsing = true
+	t.note("lease_lapsing", wire.RunRef{}, reason)
+	t.touchAll()
+	t.finishLapse(now)
+}
+
+// lapseMargin covers timers that fire late.
+const lapseMargin = 50 * time.Millisecond
+
+func (t *Table) finishLapse(now time.Time) {
+	if !t.lapsing || now.Before(t.leaseEnds.Add(lapseMargin)) {
+		return
+	}
+	t.lapsing = false
+	t.note("lease_lapsed", wire.RunRef{}, "")
+	for ref, r := range t.runs {
+		t.endRun(now, r, wire.EndLapsed, "lease_lapsed")
+		delete(t.runs, ref)
+	}
+	t.waiting = nil
+	for _, e := range t.ends {
+		e.kept = true
+	}
+	t.forget()
+	t.effects.Hold = true
+	t.tellAll()
+	t.touchAll()
+}
+
+// giveUpStarts seals starts that have had no answer for too long.
+func (t *Table) giveUpStarts(now time.Time) {
+	for _, r := range t.runs {
+		if r.state == runStarting && now.Sub(r.firstSent) > t.cfg.StartLimit {
+			t.note("start_unanswered", r.order.Ref, "sealing")
+			t.sendStop(r)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/core.go
@@ -0,0 +1,295 @@
+// Package scheduler is the core of a coordinator: the jobs of the partitions
+// that it owns, what is written of them to the store, and which worker runs
+// which task when. It does no I/O and reads no clock.
+//
+// A job is acknowledged when its record is in the store, a task's end is
+// acknowledged to its worker when the job's progress is, and a final state is
+// shown when it is. What a task does in between is known by the worker beside
+// it; a new owner asks all workers before it starts anything of an old job.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// Settings of a Core.
+type Settings struct {
+	Partitions   uint32
+	DataCentre   string
+	Heartbeat    time.Duration // between heartbeats to a worker
+	Suspect      time.Duration // silence after which a worker's connection is given up
+	Doubt        time.Duration // after the last heartbeat: what a silent worker ran is dead
+	CommitGap    time.Duration // least time between two commits of a partition
+	LazyCommit   time.Duration // how long an end may wait that no caller waits for
+	CallLimit    time.Duration // after which a caller is told that the commit is unknown
+	RetryAfter   time.Duration // what refused callers are told
+	CommitRetry  time.Duration // pause after the store refused a commit
+	KeepFinal    time.Duration // how long final states are kept
+	MaxBatch     int           // bytes of one commit
+	MaxJobs      int           // jobs held at once, final ones apart
+	StragglerX   float64       // a run is stopped after so many times its estimate
+	StragglerMin time.Duration // and this much more
+}
+
+// Call names a caller who waits for a reply.
+type Call uint64
+
+// Reply answers a Call.
+type Reply struct {
+	Call       Call
+	ID         durable.JobID
+	Failure    failure.Kind
+	State      durable.State
+	RetryAfter time.Duration
+}
+
+// Commit asks for records to be appended, all or none, under the epoch. There
+// is one at a time for each partition.
+type Commit struct {
+	Partition uint32
+	Epoch     uint64
+	Records   []durable.Record
+}
+
+// CommitResult says how a Commit went.
+type CommitResult uint8
+
+// The results of a Commit.
+const (
+	CommitOK      CommitResult = iota
+	CommitRefused              // certainly not done, and never will be
+	CommitFenced               // not done: another owner has a higher epoch
+	CommitLost                 // the partition was given up before the fate was known
+)
+
+// Send is a message to a worker, by its address.
+type Send struct {
+	Worker  string
+	Message wire.Message
+}
+
+// Note is a decision worth a line in the log.
+type Note struct {
+	What   string
+	Job    durable.JobID
+	Task   string
+	Run    uint32
+	Worker string
+	Reason string
+	Number int64
+	Usual  bool // one of many in ordinary work
+}
+
+// Effects is what has to be done.
+type Effects struct {
+	Replies []Reply
+	Commits []Commit
+	Sends   []Send
+	Close   []string // workers whose connection is to be made anew
+	Notes   []Note
+	Fenced  bool // a newer owner exists: look at once what is ours
+}
+
+// Core is the core of one coordinator.
+type Core struct {
+	cfg        Settings
+	random     *rand.Rand
+	partitions map[uint32]*partition
+	workers    map[string]*worker
+	ready      map[string]*readyQueue // by service
+	callers    map[Call]waitingCall
+	active     int // jobs that are not final
+
+	effects Effects
+}
+
+// waitingCall is a caller whose reply waits for the store.
+type waitingCall struct {
+	id    durable.JobID
+	since time.Time
+}
+
+// New returns a core without partitions or workers.
+func New(cfg Settings, seed uint64) *Core {
+	return &Core{
+		cfg:        cfg,
+		random:     rand.New(rand.NewPCG(seed, 1)),
+		partitions: make(map[uint32]*partition),
+		workers:    make(map[string]*worker),
+		ready:      make(map[string]*readyQueue),
+		callers:    make(map[Call]waitingCall),
+	}
+}
+
+// Take places what can be placed and returns what has to be done since the
+// last call.
+func (c *Core) Take(now time.Time) Effects {
+	c.dispatch(now)
+	c.cutCommits(now)
+	e := c.effects
+	c.effects = Effects{}
+	return e
+}
+
+// Tick does what is due by time.
+func (c *Core) Tick(now time.Time) {
+	c.tickWorkers(now)
+	c.tickPartitions(now)
+	c.tickCallers(now)
+}
+
+// tickCallers answers those who have waited too long for the store.
+func (c *Core) tickCallers(now time.Time) {
+	for call, w := range c.callers {
+		if now.Sub(w.since) < c.cfg.CallLimit {
+			continue
+		}
+		c.fail(call, w.id, failure.CommitUnknown)
+	}
+}
+
+func (c *Core) note(n Note) { c.effects.Notes = append(c.effects.Notes, n) }
+
+func (c *Core) reply(r Reply) {
+	delete(c.callers, r.Call)
+	c.effects.Replies = append(c.effects.Replies, r)
+}
+
+func (c *Core) fail(call Call, id durable.JobID, kind failure.Kind) {
+	c.reply(Reply{Call: call, ID: id, Failure: kind, RetryAfter: c.cfg.RetryAfter})
+	c.note(Note{What: "call_failed", Job: id, Reason: kind.String()})
+}
+
+func (c *Core) send(worker string, m wire.Message) {
+	c.effects.Sends = append(c.effects.Sends, Send{worker, m})
+}
+
+// owned returns the partition that keeps the job, if it can take calls now.
+func (c *Core) owned(id durable.JobID) *partition {
+	p := c.partitions[id.Partition(c.cfg.Partitions)]
+	if p == nil || p.suspended {
+		return nil
+	}
+	return p
+}
+
+// Owns returns whether calls about the job can be answered here.
+func (c *Core) Owns(id durable.JobID) bool { return c.owned(id) != nil }
+
+// Submit takes a job. The reply comes once the store has it.
+func (c *Core) Submit(now time.Time, call Call, s *durable.Submission) {
+	p := c.owned(s.ID)
+	if p == nil {
+		c.fail(call, s.ID, failure.NoOwner)
+		return
+	}
+	if j := p.jobs[s.ID]; j != nil {
+		c.submitAgain(now, call, j, s)
+		return
+	}
+	if c.active >= c.cfg.MaxJobs {
+		c.fail(call, s.ID, failure.Overloaded)
+		return
+	}
+	s.Epoch = p.epoch
+	j := newJob(s, now)
+	j.calls = append(j.calls, call)
+	c.callers[call] = waitingCall{s.ID, now}
+	p.jobs[s.ID] = j
+	p.submitted = append(p.submitted, j)
+	p.want(now)
+	c.active++
+}
+
+// submitAgain answers a resent submission by what became of the first copy.
+func (c *Core) submitAgain(now time.Time, call Call, j *job, s *durable.Submission) {
+	switch {
+	case j.sub != nil && !j.sub.SameContent(s):
+		c.fail(call, s.ID, failure.SubmissionMismatch)
+	case j.kept:
+		c.reply(Reply{Call: call, ID: s.ID, State: j.shown()})
+	default:
+		j.calls = append(j.calls, call)
+		c.callers[call] = waitingCall{s.ID, now}
+	}
+}
+
+// State tells where a job stands.
+func (c *Core) State(_ time.Time, call Call, id durable.JobID) {
+	p := c.owned(id)
+	switch {
+	case p == nil:
+		c.fail(call, id, failure.NoOwner)
+	case p.jobs[id] == nil:
+		c.fail(call, id, failure.JobNotFound)
+	default:
+		c.reply(Reply{Call: call, ID: id, State: p.jobs[id].shown()})
+	}
+}
+
+// Cancel cancels a job. The reply comes once the store has it.
+func (c *Core) Cancel(now time.Time, call Call, id durable.JobID) {
+	p := c.owned(id)
+	if p == nil {
+		c.fail(call, id, failure.NoOwner)
+		return
+	}
+	j := p.jobs[id]
+	switch {
+	case j == nil:
+		c.fail(call, id, failure.JobNotFound)
+	case j.durable.Final():
+		c.reply(Reply{Call: call, ID: id, State: j.durable})
+	default:
+		if !j.state.Final() {
+			c.finish(now, p, j, durable.Cancelled, "cancelled")
+		}
+		j.cancels = append(j.cancels, call)
+		c.callers[call] = waitingCall{id, now}
+		p.change(now, j)
+	}
+}
+
+// Waiting returns, by queue, the number of jobs none of whose tasks has begun.
+func (c *Core) Waiting() map[string]uint32 {
+	counts := make(map[string]uint32)
+	for _, p := range c.partitions {
+		for _, j := range p.jobs {
+			if j.sub != nil && j.kept && !j.begun && !j.state.Final() {
+				counts[j.sub.Queue.Name]++
+			}
+		}
+	}
+	return counts
+}
+
+// Partitions returns the partitions that can take calls here.
+func (c *Core) Partitions() []wire.PartitionEpoch {
+	var out []wire.PartitionEpoch
+	for n, p := range c.partitions {
+		if !p.suspended {
+			out = append(out, wire.PartitionEpoch{Partition: n, Epoch: p.epoch})
+		}
+	}
+	return out
+}
+
+// Idle returns whether nothing waits for the store.
+func (c *Core) Idle() bool {
+	for _, p := range c.partitions {
+		if p.inflight != nil || len(p.submitted) > 0 || len(p.changed) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// String returns the result as a word for logs and labels.
+func (r CommitResult) String() string {
+	return [...]string{"ok", "refused", "fenced", "lost"}[r]
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,80 @@
+// Package store says what the product needs of the log service that keeps its
+// state: partitions with fenced appends and the newest record of each key, a
+// group that deals the partitions out, and the operators' configuration.
+// It does no I/O itself; adapters implement Store.
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/queues"
+)
+
+// The ways in which a call fails. Any other error means that the call may or
+// may not have been carried out, now or later.
+var (
+	// ErrRefused means that nothing was done and nothing will be.
+	ErrRefused = errs.New("the store refused the call")
+	// ErrFenced means that a higher epoch has been seen; nothing was done.
+	ErrFenced = errs.New("a higher epoch has been seen")
+)
+
+// SequenceError refuses an append whose number does not follow the last.
+type SequenceError struct {
+	Wanted uint64
+}
+
+// Error names the number that the store wants.
+func (e *SequenceError) Error() string {
+	return errs.New("the store wants number %d", e.Wanted).Error()
+}
+
+// Assignment is the store's answer to a member of the group.
+type Assignment struct {
+	Generation uint64 // rises with each change
+	Partitions []uint32
+}
+
+// Role says what a registered process does.
+type Role string
+
+// The roles of processes.
+const (
+	RoleCoordinator Role = "coordinator"
+	RoleWorker      Role = "worker"
+)
+
+// Member is a registered process.
+type Member struct {
+	Address    string // where it listens for its peers
+	Role       Role
+	DataCentre string
+}
+
+// Store is the log service as one process uses it. Its methods may be called
+// by several goroutines at once.
+type Store interface {
+	// Join stays in the group of owners for the time to live, counted from the
+	// arrival of the call.
+	Join(ctx context.Context, member string, generation uint64, ttl time.Duration) (Assignment, error)
+	// Leave gives all partitions up at once.
+	Leave(ctx context.Context, member string) error
+	// Fence makes the store refuse appends to the partition under lower epochs.
+	Fence(ctx context.Context, partition uint32, epoch uint64) error
+	// Append adds the records, all or none, once for each epoch and number.
+	Append(ctx context.Context, partition uint32, epoch, number uint64, records []durable.Record) error
+	// Newest returns the newest record of each key of the partition.
+	Newest(ctx context.Context, partition uint32) ([]durable.Record, error)
+	// Register makes the process known to all.
+	Register(ctx context.Context, m Member) error
+	// Members calls f with the changes of the registered processes, first with
+	// all of them, until ctx ends.
+	Members(ctx context.Context, f func(joined []Member))
+	// Configurations calls f with each configuration that is put in force, first
+	// with the newest, until ctx ends.
+	Configurations(ctx context.Context, f func(*queues.Configuration))
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -14,16 +14,27 @@
 
 // The kinds of message.
 const (
-	KindHello   Kind = 1
-	KindPlace   Kind = 2
-	KindCancel  Kind = 3
-	KindResults Kind = 4
-	KindClaim   Kind = 5
-	KindClaimed Kind = 6
-	KindFetch   Kind = 7
-	KindFetched Kind = 8
-	KindPing    Kind = 9
-	KindLeave   Kind = 10
+	KindHello          Kind = 1
+	KindPlace          Kind = 2
+	KindCancel         Kind = 3
+	KindResults        Kind = 4
+	KindClaim          Kind = 5
+	KindClaimed        Kind = 6
+	KindFetch          Kind = 7
+	KindFetched        Kind = 8
+	KindPing           Kind = 9
+	KindLeave          Kind = 10
+	KindOwnerHeartbeat Kind = 11
+	KindWorkerStatus   Kind = 12
+	KindStartRuns      Kind = 13
+	KindStopRuns       Kind = 14
+	KindRunEnds        Kind = 15
+	KindEndsKept       Kind = 16
+	KindPartitionRuns  Kind = 17
+	KindJobCall        Kind = 18
+	KindJobReply       Kind = 19
+	KindQueueCounts    Kind = 20
+	KindHandOver       Kind = 21
 )
 
 // String returns the kind's name, as used in metric labels.
@@ -49,6 +60,28 @@
 		return "ping"
 	case KindLeave:
 		return "leave_ack"
+	case KindOwnerHeartbeat:
+		return "owner_heartbeat"
+	case KindWorkerStatus:
+		return "worker_status"
+	case KindStartRuns:
+		return "start_runs"
+	case KindStopRuns:
+		return "stop_runs"
+	case KindRunEnds:
+		return "run_ends"
+	case KindEndsKept:
+		return "ends_kept"
+	case KindPartitionRuns:
+		return "partition_runs"
+	case KindJobCall:
+		return "job_call"
+	case KindJobReply:
+		return "job_reply"
+	case KindQueueCounts:
+		return "queue_counts"
+	case KindHandOver:
+		return "hand_over"
 	}
 	return "unknown"
 }
@@ -58,6 +91,8 @@
 	return []Kind{
 		KindHello, KindPlace, KindCancel, KindResults,
 		KindClaim, KindClaimed, KindFetch, KindFetched, KindPing, KindLeave,
+		KindOwnerHeartbeat, KindWorkerStatus, KindStartRuns, KindStopRuns, KindRunEnds, KindEndsKept,
+		KindPartitionRuns, KindJobCall, KindJobReply, KindQueueCounts, KindHandOver,
 	}
 }
 
@@ -98,6 +133,39 @@
 // WireKind returns KindLeave.
 func (*LeaveAck) WireKind() Kind { return KindLeave }
 
+// WireKind returns KindOwnerHeartbeat.
+func (*OwnerHeartbeat) WireKind() Kind { return KindOwnerHeartbeat }
+
+// WireKind returns KindWorkerStatus.
+func (*WorkerStatus) WireKind() Kind { return KindWorkerStatus }
+
+// WireKind returns KindStartRuns.
+func (*StartRuns) WireKind() Kind { return KindStartRuns }
+
+// WireKind returns KindStopRuns.
+func (*StopRuns) WireKind() Kind { return KindStopRuns }
+
+// WireKind returns KindRunEnds.
+func (*RunEnds) WireKind() Kind { return KindRunEnds }
+
+// WireKind returns KindEndsKept.
+func (*EndsKept) WireKind() Kind { return KindEndsKept }
+
+// WireKind returns KindPartitionRuns.
+func (*PartitionRuns) WireKind() Kind { return KindPartitionRuns }
+
+// WireKind returns KindJobCall.
+func (*JobCall) WireKind() Kind { return KindJobCall }
+
+// WireKind returns KindJobReply.
+func (*JobReply) WireKind() Kind { return KindJobReply }
+
+// WireKind returns KindQueueCounts.
+func (*QueueCounts) WireKind() Kind { return KindQueueCounts }
+
+// WireKind returns KindHandOver.
+func (*HandOver) WireKind() Kind { return KindHandOver }
+
 // The ways in which a frame can be wrong. The connection is of no use after
 // any of them.
 var (
@@ -210,6 +278,28 @@
 		return &Ping{}
 	case KindLeave:
 		return &LeaveAck{}
+	case KindOwnerHeartbeat:
+		return &OwnerHeartbeat{}
+	case KindWorkerStatus:
+		return &WorkerStatus{}
+	case KindStartRuns:
+		return &StartRuns{}
+	case KindStopRuns:
+		return &StopRuns{}
+	case KindRunEnds:
+		return &RunEnds{}
+	case KindEndsKept:
+		return &EndsKept{}
+	case KindPartitionRuns:
+		return &PartitionRuns{}
+	case KindJobCall:
+		return &JobCall{}
+	case KindJobReply:
+		return &JobReply{}
+	case KindQueueCounts:
+		return &QueueCounts{}
+	case KindHandOver:
+		return &HandOver{}
 	}
 	return nil
 }
--- /dev/null
+++ b/wire/jobs.go
@@ -0,0 +1,170 @@
+package wire
+
+import "github.com/lichenfall/lichenfall/durable"
+
+//go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
+//msgp:tuple PartitionEpoch OwnerHeartbeat WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver
+//msgp:limit arrays:65536
+
+// PartitionEpoch says that the sender owns a partition, with the fencing epoch
+// under which it does.
+type PartitionEpoch struct {
+	Partition uint32
+	Epoch     uint64
+}
+
+// OwnerHeartbeat renews a coordinator's leases at a worker: of its partitions'
+// tasks there. A new epoch fences all earlier owners of the partition.
+type OwnerHeartbeat struct {
+	Seq uint64 // rises with each heartbeat on a connection
+	// Echo is the newest Stamp that the sender has received. The leases count
+	// from it, so that a heartbeat that was long on its way renews nothing.
+	Echo       int64
+	Partitions []PartitionEpoch
+}
+
+// WorkerStatus is a worker's state. It answers a heartbeat, and is sent when
+// something has changed.
+type WorkerStatus struct {
+	Stamp        int64  // the worker's steady clock in microseconds, never 0
+	HeartbeatSeq uint64 // the newest heartbeat that was handled
+	StartSeq     uint64 // the newest StartRuns that was handled
+	Instance     string // the life of the backend server
+	Service      string
+	Ready        bool // takes new tasks
+	Capacity     durable.Resources
+	Free         durable.Resources // after what runs and waits there; may be negative
+	Waiting      uint32            // tasks that wait for room
+	Labels       []string
+	Fenced       []uint32 // partitions of the receiver that another owner has claimed
+}
+
+// RunRef names one run of a task.
+type RunRef struct {
+	Task durable.TaskID
+	Run  uint32
+}
+
+// RunOrder asks for one run of a task.
+type RunOrder struct {
+	Ref        RunRef
+	Epoch      uint64 // of the owner of the task's partition
+	Spec       string
+	Need       durable.Resources
+	Priority   int32
+	DueMS      int64 // milliseconds from now until it should have begun; may be negative
+	Checkpoint string
+}
+
+// End says how a run ended.
+type End uint8
+
+// The ends of runs.
+const (
+	EndDone    End = 1
+	EndFailed  End = 2 // by its own fault or the backend server's
+	EndStopped End = 3 // on our order
+	EndLapsed  End = 4 // its lease was not renewed
+	EndLost    End = 5 // the backend server's life is over
+	EndNotRun  End = 6 // it never began and never will
+)
+
+// String returns the end's name.
+func (e End) String() string {
+	switch e {
+	case EndDone:
+		return "done"
+	case EndFailed:
+		return "failed"
+	case EndStopped:
+		return "stopped"
+	case EndLapsed:
+		return "lapsed"
+	case EndLost:
+		return "lost"
+	}
+	return "not_run"
+}
+
+// RunEnd is the end of one run.
+type RunEnd struct {
+	Ref        RunRef
+	How        uint8 // an End
+	Checkpoint string
+	RunMS      int64  // how long it ran, as far as the worker knows
+	Reason     string // of EndNotRun
+}
+
+// StartRuns asks a worker to run tasks as soon as they fit.
+type StartRuns struct {
+	Seq  uint64 // rises with each StartRuns on a connection
+	Runs []RunOrder
+}
+
+// StopRuns asks a worker to stop runs.
+type StopRuns struct {
+	Runs []RunRef
+}
+
+// RunEnds tells ends of runs. Those that the backend server remembers are told
+// again after each reconnection, until EndsKept.
+type RunEnds struct {
+	Ends []RunEnd
+}
+
+// EndsKept says that the ends are in the store, or will never matter.
+type EndsKept struct {
+	Runs []RunRef
+}
+
+// PartitionRuns is all that a worker knows of a partition's tasks at one
+// moment. It follows the first heartbeat of an epoch on a connection.
+type PartitionRuns struct {
+	Partition uint32
+	Epoch     uint64
+	Running   []RunRef // running, waiting or being stopped
+	Ended     []RunEnd // not yet called kept
+}
+
+// CallKind is what a JobCall asks for.
+type CallKind uint8
+
+// The kinds of JobCall.
+const (
+	CallSubmit CallKind = 1
+	CallState  CallKind = 2
+	CallCancel CallKind = 3
+)
+
+// JobCall passes a caller's request on to the owner of the job's partition.
+type JobCall struct {
+	Seq        uint64
+	Kind       uint8 // a CallKind
+	ID         durable.JobID
+	Submission *durable.Submission // of CallSubmit
+}
+
+// JobReply answers a JobCall.
+type JobReply struct {
+	Seq     uint64
+	Failure uint8 // a failure.Kind; None if all is well
+	State   uint8 // a durable.State
+	RetryMS int64 // when to come back, with a Failure
+}
+
+// QueueCount is the number of a queue's jobs that wait, none of whose tasks
+// has begun.
+type QueueCount struct {
+	Queue string
+	Jobs  uint32
+}
+
+// QueueCounts tells other coordinators of the sender's waiting jobs, and of
+// the partitions that it owns.
+type QueueCounts struct {
+	Partitions []PartitionEpoch
+	Counts     []QueueCount
+}
+
+// HandOver asks other coordinators to look at once which partitions are theirs.
+type HandOver struct{}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -23,6 +23,9 @@
 const (
 	RoleEntry Role = 1
 	RoleAgent Role = 2
+	// RoleCoordinator and RoleWorker are those of kept jobs.
+	RoleCoordinator Role = 3
+	RoleWorker      Role = 4
 )
 
 // Hello opens a connection in each direction.
