all: serve best-effort jobs where they arrive

Such a job needs no store: its caller waits for the end and sends it again when there is no answer. Ruled out: taking them through partitions of the store; its outages would stop work that needs nothing kept. Change: the coordinator that receives one holds it in memory; workers run it under a lease of that coordinator, and stop it before the caller's resend.

--- a/config/jobstore.go
+++ b/config/jobstore.go
@@ -48,41 +48,46 @@
 
 // Scheduler is the section on jobs and where their tasks run.
 type Scheduler struct {
-	Partitions   uint32   `json:"partitions"`    // of the store; the same everywhere
-	Heartbeat    Duration `json:"heartbeat"`     // to each worker
-	Suspect      Duration `json:"suspect"`       // silence after which a worker is dialled anew
-	OwnerLease   Duration `json:"owner_lease"`   // how long a heartbeat holds at a worker
-	HoldLease    Duration `json:"hold_lease"`    // longest lease of a backend server
-	CommitGap    Duration `json:"commit_gap"`    // between two commits of a partition
-	LazyCommit   Duration `json:"lazy_commit"`   // how long an end may wait that no caller waits for
-	CallLimit    Duration `json:"call_limit"`    // after which a caller is told that the outcome is unknown
-	RetryAfter   Duration `json:"retry_after"`   // what refused callers are told
-	CommitRetry  Duration `json:"commit_retry"`  // pause after the store refused
-	KeepFinal    Duration `json:"keep_final"`    // how long the state of ended jobs is kept
-	MaxBatch     int      `json:"max_batch"`     // bytes of one commit
-	MaxJobs      int      `json:"max_jobs"`      // jobs of one coordinator that have not ended
-	StragglerX   float64  `json:"straggler_x"`   // a run is stopped after so many times its estimate
-	StragglerMin Duration `json:"straggler_min"` // and this much more
+	Partitions uint32   `json:"partitions"`  // of the store; the same everywhere
+	Heartbeat  Duration `json:"heartbeat"`   // to each worker
+	Suspect    Duration `json:"suspect"`     // silence after which a worker is dialled anew
+	OwnerLease Duration `json:"owner_lease"` // how long a heartbeat holds at a worker
+	HoldLease  Duration `json:"hold_lease"`  // longest lease of a backend server
+	// BestEffortLease is the owner lease of jobs that are not kept.
+	BestEffortLease Duration `json:"best_effort_lease"`
+	StopGrace       Duration `json:"stop_grace"`    // from the end of an owner lease to that of the hold
+	CommitGap       Duration `json:"commit_gap"`    // between two commits of a partition
+	LazyCommit      Duration `json:"lazy_commit"`   // how long an end may wait that no caller waits for
+	CallLimit       Duration `json:"call_limit"`    // after which a caller is told that the outcome is unknown
+	RetryAfter      Duration `json:"retry_after"`   // what refused callers are told
+	CommitRetry     Duration `json:"commit_retry"`  // pause after the store refused
+	KeepFinal       Duration `json:"keep_final"`    // how long the state of ended jobs is kept
+	MaxBatch        int      `json:"max_batch"`     // bytes of one commit
+	MaxJobs         int      `json:"max_jobs"`      // jobs of one coordinator that have not ended
+	StragglerX      float64  `json:"straggler_x"`   // a run is stopped after so many times its estimate
+	StragglerMin    Duration `json:"straggler_min"` // and this much more
 }
 
 // DefaultScheduler returns the defaults of Scheduler.
 func DefaultScheduler() Scheduler {
 	return Scheduler{
-		Partitions:   8,
-		Heartbeat:    Duration(200 * time.Millisecond),
-		Suspect:      Duration(700 * time.Millisecond),
-		OwnerLease:   Duration(1800 * time.Millisecond),
-		HoldLease:    Duration(time.Second),
-		CommitGap:    Duration(10 * time.Millisecond),
-		LazyCommit:   Duration(60 * time.Millisecond),
-		CallLimit:    Duration(1200 * time.Millisecond),
-		RetryAfter:   Duration(time.Second),
-		CommitRetry:  Duration(150 * time.Millisecond),
-		KeepFinal:    Duration(150 * time.Second),
-		MaxBatch:     1 << 20,
-		MaxJobs:      20000,
-		StragglerX:   3,
-		StragglerMin: Duration(150 * time.Millisecond),
+		Partitions:      8,
+		Heartbeat:       Duration(200 * time.Millisecond),
+		Suspect:         Duration(700 * time.Millisecond),
+		OwnerLease:      Duration(1600 * time.Millisecond),
+		HoldLease:       Duration(time.Second),
+		BestEffortLease: Duration(800 * time.Millisecond),
+		StopGrace:       Duration(200 * time.Millisecond),
+		CommitGap:       Duration(10 * time.Millisecond),
+		LazyCommit:      Duration(60 * time.Millisecond),
+		CallLimit:       Duration(1200 * time.Millisecond),
+		RetryAfter:      Duration(time.Second),
+		CommitRetry:     Duration(150 * time.Millisecond),
+		KeepFinal:       Duration(150 * time.Second),
+		MaxBatch:        1 << 20,
+		MaxJobs:         20000,
+		StragglerX:      3,
+		StragglerMin:    Duration(150 * time.Millisecond),
 	}
 }
 
@@ -92,6 +97,8 @@
 	c.span("scheduler.heartbeat", s.Heartbeat, Duration(10*time.Millisecond), s.OwnerLease/2)
 	c.span("scheduler.suspect", s.Suspect, s.Heartbeat, s.OwnerLease)
 	c.span("scheduler.owner_lease", s.OwnerLease, Duration(100*time.Millisecond), 60*second)
+	c.span("scheduler.best_effort_lease", s.BestEffortLease, Duration(100*time.Millisecond), 60*second)
+	c.span("scheduler.stop_grace", s.StopGrace, 0, 10*second)
 	c.span("scheduler.hold_lease", s.HoldLease, Duration(100*time.Millisecond), 60*second)
 	c.span("scheduler.commit_gap", s.CommitGap, 0, second)
 	c.span("scheduler.lazy_commit", s.LazyCommit, 0, 10*second)
@@ -111,51 +118,62 @@
 // doubtMargin covers timers that fire late.
 const doubtMargin = 100 * time.Millisecond
 
+// doubt returns how long after its last heartbeat a worker may run what it was
+// ordered to, when the owner's lease lasts so long.
+func (s *Scheduler) doubt(lease Duration) time.Duration {
+	return lease.D() + s.StopGrace.D() + time.Duration((1+drift)*float64(s.HoldLease)) + doubtMargin
+}
+
 // Core returns the settings of the scheduler's core.
 func (s *Scheduler) Core(dataCentre string) scheduler.Settings {
 	return scheduler.Settings{
-		Partitions:   s.Partitions,
-		DataCentre:   dataCentre,
-		Heartbeat:    s.Heartbeat.D(),
-		Suspect:      s.Suspect.D(),
-		Doubt:        s.OwnerLease.D() + time.Duration((1+drift)*float64(s.HoldLease)) + doubtMargin,
-		CommitGap:    s.CommitGap.D(),
-		LazyCommit:   s.LazyCommit.D(),
-		CallLimit:    s.CallLimit.D(),
-		RetryAfter:   s.RetryAfter.D(),
-		CommitRetry:  s.CommitRetry.D(),
-		KeepFinal:    s.KeepFinal.D(),
-		MaxBatch:     s.MaxBatch,
-		MaxJobs:      s.MaxJobs,
-		StragglerX:   s.StragglerX,
-		StragglerMin: s.StragglerMin.D(),
+		Partitions:      s.Partitions,
+		DataCentre:      dataCentre,
+		Heartbeat:       s.Heartbeat.D(),
+		Suspect:         s.Suspect.D(),
+		Doubt:           s.doubt(s.OwnerLease),
+		BestEffortDoubt: s.doubt(s.BestEffortLease),
+		CommitGap:       s.CommitGap.D(),
+		LazyCommit:      s.LazyCommit.D(),
+		CallLimit:       s.CallLimit.D(),
+		RetryAfter:      s.RetryAfter.D(),
+		CommitRetry:     s.CommitRetry.D(),
+		KeepFinal:       s.KeepFinal.D(),
+		MaxBatch:        s.MaxBatch,
+		MaxJobs:         s.MaxJobs,
+		StragglerX:      s.StragglerX,
+		StragglerMin:    s.StragglerMin.D(),
 	}
 }
 
 // Runs is the worker's section on the runs beside it. Partitions and leases
 // must be those of the coordinators.
 type Runs struct {
-	Partitions uint32   `json:"partitions"`
-	OwnerLease Duration `json:"owner_lease"`
-	HoldLease  Duration `json:"hold_lease"`
-	HoldRenew  Duration `json:"hold_renew"`  // between renewals of the backend server's lease
-	StartLimit Duration `json:"start_limit"` // after which an unanswered start is given up
-	CallLimit  Duration `json:"call_limit"`  // for one call of the backend server
-	MaxWaiting int      `json:"max_waiting"` // runs that may wait for room
-	FirstLease Duration `json:"first_lease"` // owner lease that a fresh process assumes
+	Partitions      uint32   `json:"partitions"`
+	OwnerLease      Duration `json:"owner_lease"`
+	BestEffortLease Duration `json:"best_effort_lease"`
+	StopGrace       Duration `json:"stop_grace"`
+	HoldLease       Duration `json:"hold_lease"`
+	HoldRenew       Duration `json:"hold_renew"`  // between renewals of the backend server's lease
+	StartLimit      Duration `json:"start_limit"` // after which an unanswered start is given up
+	CallLimit       Duration `json:"call_limit"`  // for one call of the backend server
+	MaxWaiting      int      `json:"max_waiting"` // runs that may wait for room
+	FirstLease      Duration `json:"first_lease"` // owner lease that a fresh process assumes
 }
 
 // DefaultRuns returns the defaults of Runs.
 func DefaultRuns() Runs {
 	return Runs{
-		Partitions: 8,
-		OwnerLease: Duration(1800 * time.Millisecond),
-		HoldLease:  Duration(time.Second),
-		HoldRenew:  Duration(300 * time.Millisecond),
-		StartLimit: Duration(700 * time.Millisecond),
-		CallLimit:  Duration(200 * time.Millisecond),
-		MaxWaiting: 6,
-		FirstLease: Duration(400 * time.Millisecond),
+		Partitions:      8,
+		OwnerLease:      Duration(1600 * time.Millisecond),
+		BestEffortLease: Duration(800 * time.Millisecond),
+		StopGrace:       Duration(200 * time.Millisecond),
+		HoldLease:       Duration(time.Second),
+		HoldRenew:       Duration(300 * time.Millisecond),
+		StartLimit:      Duration(700 * time.Millisecond),
+		CallLimit:       Duration(200 * time.Millisecond),
+		MaxWaiting:      6,
+		FirstLease:      Duration(400 * time.Millisecond),
 	}
 }
 
@@ -163,6 +181,8 @@
 	second := Duration(time.Second)
 	between(c, "runs.partitions", r.Partitions, 1, 4096)
 	c.span("runs.owner_lease", r.OwnerLease, Duration(100*time.Millisecond), 60*second)
+	c.span("runs.best_effort_lease", r.BestEffortLease, Duration(100*time.Millisecond), 60*second)
+	c.span("runs.stop_grace", r.StopGrace, 0, 10*second)
 	c.span("runs.hold_lease", r.HoldLease, Duration(100*time.Millisecond), 60*second)
 	c.span("runs.hold_renew", r.HoldRenew, Duration(10*time.Millisecond), r.HoldLease/2)
 	c.span("runs.start_limit", r.StartLimit, Duration(10*time.Millisecond), 60*second)
@@ -174,14 +194,16 @@
 // Core returns the settings of the worker's core.
 func (r *Runs) Core() runtable.Settings {
 	return runtable.Settings{
-		Partitions: r.Partitions,
-		OwnerLease: r.OwnerLease.D(),
-		HoldLease:  r.HoldLease.D(),
-		HoldRenew:  r.HoldRenew.D(),
-		Drift:      drift,
-		StartLimit: r.StartLimit.D(),
-		MaxWaiting: r.MaxWaiting,
-		FirstLease: r.FirstLease.D(),
+		Partitions:      r.Partitions,
+		OwnerLease:      r.OwnerLease.D(),
+		BestEffortLease: r.BestEffortLease.D(),
+		StopGrace:       r.StopGrace.D(),
+		HoldLease:       r.HoldLease.D(),
+		HoldRenew:       r.HoldRenew.D(),
+		Drift:           drift,
+		StartLimit:      r.StartLimit.D(),
+		MaxWaiting:      r.MaxWaiting,
+		FirstLease:      r.FirstLease.D(),
 	}
 }
 
--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -59,7 +59,7 @@
 func (c *Coordinator) take(now time.Time, cl *call) {
 	c.nextCall++
 	cl.number = c.nextCall
-	if c.core.Owns(cl.id) {
+	if c.core.Owns(cl.id) || (cl.submission != nil && cl.submission.BestEffort) {
 		c.calls[scheduler.Call(cl.number)] = cl
 		c.toCore(now, cl)
 		return
@@ -164,7 +164,8 @@
 }
 
 // forget drops a call whose caller has left.
-func (c *Coordinator) forget(cl *call) {
+func (c *Coordinator) forget(now time.Time, cl *call) {
 	delete(c.calls, scheduler.Call(cl.number))
 	delete(c.forwarded, cl.number)
+	c.core.Abandon(now, scheduler.Call(cl.number), cl.id)
 }
--- a/coordinator/control.go
+++ b/coordinator/control.go
@@ -71,7 +71,7 @@
 	case evCall:
 		c.take(now, ev.call)
 	case evGone:
-		c.forget(ev.call)
+		c.forget(now, ev.call)
 	case evDrain:
 		c.joinAt = now
 		c.kickJoin()
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -129,6 +129,9 @@
 	Spec  string
 	Steps []Step
 	Epoch uint64 // of the partition's owner that accepted it
+	// BestEffort marks a job that is not kept: its caller waits for its end, and
+	// sends it again when there is no answer.
+	BestEffort bool
 }
 
 // Tasks returns the number of tasks of the job.
--- a/durable/durable_gen.go
+++ b/durable/durable_gen.go
@@ -472,8 +472,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Submission) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, string(z.ID))
 	o, err = z.Queue.MarshalMsg(o)
 	if err != nil {
@@ -490,6 +490,7 @@
 		}
 	}
 	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendBool(o, z.BestEffort)
 	return
 }
 
@@ -501,8 +502,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -551,6 +552,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.BestEffort, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BestEffort")
+		return
+	}
 	o = bts
 	return
 }
@@ -561,7 +567,7 @@
 	for za0001 := range z.Steps {
 		s += z.Steps[za0001].Msgsize()
 	}
-	s += msgp.Uint64Size
+	s += msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
--- a/runtable/answers.go
+++ b/runtable/answers.go
@@ -173,10 +173,10 @@
 		}
 		need := durable.Resources{CPU: t.identity.Capacity.CPU / adoptedShare}
 		t.runs[l.Ref] = &run{
-			order:     wire.RunOrder{Ref: l.Ref, Need: need},
-			partition: l.Ref.Task.Job.Partition(t.cfg.Partitions),
-			state:     runRunning,
-			started:   now,
+			order:   wire.RunOrder{Ref: l.Ref, Need: need},
+			scope:   t.partitionOf(l.Ref),
+			state:   runRunning,
+			started: now,
 		}
 		t.note("run_adopted", l.Ref, "")
 	}
@@ -201,14 +201,20 @@
 	if !l.Valid {
 		return
 	}
-	e.partition = l.Ref.Task.Job.Partition(t.cfg.Partitions)
+	e.scope = t.partitionOf(l.Ref)
 	e.told = wire.RunEnd{Ref: l.Ref, How: uint8(l.How), Checkpoint: l.Checkpoint}
 	if r := t.runs[l.Ref]; r != nil {
+		e.scope = r.scope
 		e.told.RunMS = r.age(now)
 		delete(t.runs, l.Ref)
 		t.touchAll()
 	}
-	if p := t.partitions[e.partition]; p != nil && p.told {
+	if e.scope.member != "" {
+		// Nothing is kept of a best-effort job: the end may be forgotten.
+		e.kept = true
+		t.recent[l.Ref] = recentEnd{e.told, now}
+	}
+	if p := t.scopes[e.scope]; p != nil && p.told {
 		t.tell(p.owner, e.told)
 	}
 }
--- a/runtable/owners.go
+++ b/runtable/owners.go
@@ -8,8 +8,16 @@
 
 // OwnerUp tells the table of a connection to a coordinator, under a name that
 // is used for no other connection.
-func (t *Table) OwnerUp(_ time.Time, name string) {
-	t.owners[name] = &owner{dirty: true}
+// member names the coordinator's process.
+func (t *Table) OwnerUp(_ time.Time, name, member string) {
+	t.owners[name] = &owner{member: member, dirty: true}
+	key := scope{member: member}
+	p := t.scopes[key]
+	if p == nil {
+		p = &ownership{told: true}
+		t.scopes[key] = p
+	}
+	p.owner = name
 }
 
 // OwnerDown tells the table that the connection is lost. The owner's leases
@@ -27,6 +35,7 @@
 	}
 	o.heartbeatSeq = m.Seq
 	o.dirty = true
+	t.renew(t.scopes[scope{member: o.member}], m.Echo, t.cfg.BestEffortLease)
 	for _, claim := range m.Partitions {
 		if !t.claim(name, claim, m.Echo) {
 			o.fenced = append(o.fenced, claim.Partition)
@@ -36,10 +45,11 @@
 
 // claim returns whether the owner may have the partition.
 func (t *Table) claim(name string, c wire.PartitionEpoch, echo int64) bool {
-	p := t.partitions[c.Partition]
+	key := scope{partition: c.Partition}
+	p := t.scopes[key]
 	if p == nil {
 		p = &ownership{}
-		t.partitions[c.Partition] = p
+		t.scopes[key] = p
 	}
 	if c.Epoch < p.epoch {
 		return false
@@ -49,31 +59,37 @@
 		p.owner = name
 		p.told = false
 	}
-	if echo > 0 {
-		expires := t.epoch.Add(time.Duration(echo)*time.Microsecond + t.cfg.OwnerLease)
-		if expires.After(p.expires) {
-			p.expires = expires
-		}
-	}
-	t.tellPartition(c.Partition, p)
+	t.renew(p, echo, t.cfg.OwnerLease)
+	t.tellPartition(key, p)
 	return true
 }
 
+// renew makes the lease count from the stamp that the owner echoes.
+func (t *Table) renew(p *ownership, echo int64, lease time.Duration) {
+	if echo <= 0 {
+		return
+	}
+	expires := t.epoch.Add(time.Duration(echo)*time.Microsecond + lease)
+	if expires.After(p.expires) {
+		p.expires = expires
+	}
+}
+
 // tellPartition sends all that is known of the partition, once for each epoch
 // and connection, as soon as it is known for certain.
-func (t *Table) tellPartition(n uint32, p *ownership) {
+func (t *Table) tellPartition(key scope, p *ownership) {
 	if p.told || t.lapsing || !t.firstHold || t.owners[p.owner] == nil {
 		return
 	}
 	p.told = true
-	m := &wire.PartitionRuns{Partition: n, Epoch: p.epoch}
+	m := &wire.PartitionRuns{Partition: key.partition, Epoch: p.epoch}
 	for ref, r := range t.runs {
-		if r.partition == n {
+		if r.scope == key {
 			m.Running = append(m.Running, ref)
 		}
 	}
 	for _, e := range t.ends {
-		if e.partition == n && !e.kept {
+		if e.scope == key && !e.kept {
 			m.Ended = append(m.Ended, e.told)
 		}
 	}
@@ -82,14 +98,59 @@
 
 // tellAll sends what could not be told before.
 func (t *Table) tellAll() {
-	for n, p := range t.partitions {
-		t.tellPartition(n, p)
+	for key, p := range t.scopes {
+		t.tellPartition(key, p)
+	}
+	for name := range t.owners {
+		t.answerClaims(name)
+	}
+}
+
+// Claim takes a coordinator's question about best-effort runs that it ordered
+// over an earlier connection.
+func (t *Table) Claim(now time.Time, name string, m *wire.ClaimRuns) {
+	t.expire(now)
+	o := t.owners[name]
+	if o == nil {
+		return
 	}
+	o.claims = append(o.claims, m.Runs...)
+	t.answerClaims(name)
+}
+
+func (t *Table) answerClaims(name string) {
+	o := t.owners[name]
+	if len(o.claims) == 0 || t.lapsing || !t.firstHold {
+		return
+	}
+	m := &wire.PartitionRuns{Partition: wire.BestEffortRuns}
+	for _, ref := range o.claims {
+		if r := t.runs[ref]; r != nil {
+			r.scope = scope{member: o.member}
+			m.Running = append(m.Running, ref)
+		} else if e, ok := t.recent[ref]; ok {
+			m.Ended = append(m.Ended, e.told)
+		}
+	}
+	o.claims = nil
+	t.send(name, m)
+}
+
+// scopeOf returns the scope of an order.
+func (t *Table) scopeOf(o *owner, order *wire.RunOrder) scope {
+	if order.BestEffort {
+		return scope{member: o.member}
+	}
+	return t.partitionOf(order.Ref)
+}
+
+func (t *Table) partitionOf(ref wire.RunRef) scope {
+	return scope{partition: ref.Task.Job.Partition(t.cfg.Partitions)}
 }
 
 // valid returns the ownership under which the order may be carried out.
-func (t *Table) valid(now time.Time, name string, order *wire.RunOrder, partition uint32) bool {
-	p := t.partitions[partition]
+func (t *Table) valid(now time.Time, name string, order *wire.RunOrder, key scope) bool {
+	p := t.scopes[key]
 	return p != nil && p.owner == name && p.epoch == order.Epoch && p.told && now.Before(p.expires)
 }
 
@@ -108,13 +169,15 @@
 }
 
 func (t *Table) take(now time.Time, name string, order *wire.RunOrder) {
-	partition := order.Ref.Task.Job.Partition(t.cfg.Partitions)
-	if t.runs[order.Ref] != nil {
+	key := t.scopeOf(t.owners[name], order)
+	if r := t.runs[order.Ref]; r != nil {
+		// Sent again by another owner: it is the same run, and now the newer's.
+		r.scope = key
 		return
 	}
 	reason := ""
 	switch {
-	case !t.valid(now, name, order, partition):
+	case !t.valid(now, name, order, key):
 		reason = "no_lease"
 	case !t.canStart():
 		reason = "not_ready"
@@ -126,7 +189,7 @@
 		t.tell(name, wire.RunEnd{Ref: order.Ref, How: uint8(wire.EndNotRun), Reason: reason})
 		return
 	}
-	r := &run{order: *order, partition: partition, due: now.Add(time.Duration(order.DueMS) * time.Millisecond)}
+	r := &run{order: *order, scope: key, due: now.Add(time.Duration(order.DueMS) * time.Millisecond)}
 	t.runs[order.Ref] = r
 	t.waiting = append(t.waiting, r)
 }
@@ -136,11 +199,12 @@
 	t.expire(now)
 	for _, ref := range m.Runs {
 		r := t.runs[ref]
-		p := t.partitions[ref.Task.Job.Partition(t.cfg.Partitions)]
-		if r == nil || p == nil || p.owner != name {
+		if r == nil {
 			continue
 		}
-		t.stopRun(now, r)
+		if p := t.scopes[r.scope]; p != nil && p.owner == name {
+			t.stopRun(now, r)
+		}
 	}
 }
 
@@ -206,51 +270,74 @@
 	t.expire(now)
 	t.finishLapse(now)
 	t.giveUpStarts(now)
+	for ref, e := range t.recent {
+		if now.Sub(e.at) > recentFor {
+			delete(t.recent, ref)
+		}
+	}
 }
 
 // expire looks for owners whose lease is over while something of theirs is
-// here, and lets the backend server's lease lapse then.
+// here. Their runs are stopped; what is not gone soon is ended by letting the
+// backend server's lease lapse.
 func (t *Table) expire(now time.Time) {
 	if t.lapsing || !t.known {
 		return
 	}
-	for n, p := range t.partitions {
-		if now.Before(p.expires) || !t.holds(n) {
+	for key, p := range t.scopes {
+		if now.Before(p.expires) || !t.holds(key) {
+			p.condemned = time.Time{}
 			continue
 		}
-		t.lapse(now, "owner_lease_ended")
-		return
+		if p.condemned.IsZero() {
+			p.condemned = now
+			t.condemn(now, key)
+		}
+		if now.Sub(p.condemned) >= t.cfg.StopGrace {
+			t.lapse(now, "owner_lease_ended")
+			return
+		}
 	}
 	if now.Sub(t.epoch) > t.cfg.FirstLease {
 		t.expireUnowned(now)
 	}
 }
 
+// condemn stops all runs of the scope.
+func (t *Table) condemn(now time.Time, key scope) {
+	t.note("owner_lease_ended", wire.RunRef{}, key.member)
+	for _, r := range t.runs {
+		if r.scope == key {
+			t.stopRun(now, r)
+		}
+	}
+}
+
 // expireUnowned lapses what an earlier process left here and nobody claims.
 func (t *Table) expireUnowned(now time.Time) {
 	for _, r := range t.runs {
-		if t.partitions[r.partition] == nil {
+		if t.scopes[r.scope] == nil {
 			t.lapse(now, "no_owner")
 			return
 		}
 	}
 	for _, e := range t.ends {
-		if !e.kept && t.partitions[e.partition] == nil {
+		if !e.kept && t.scopes[e.scope] == nil {
 			t.lapse(now, "no_owner")
 			return
 		}
 	}
 }
 
-// holds returns whether anything of the partition is here.
-func (t *Table) holds(partition uint32) bool {
+// holds returns whether anything of the scope is here.
+func (t *Table) holds(key scope) bool {
 	for _, r := range t.runs {
-		if r.partition == partition {
+		if r.scope == key {
 			return true
 		}
 	}
 	for _, e := range t.ends {
-		if e.partition == partition && !e.kept {
+		if e.scope == key && !e.kept {
 			return true
 		}
 	}
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -26,8 +26,16 @@
 	StartLimit time.Duration // after which an unanswered start is given up and sealed
 	MaxWaiting int           // runs that may wait for room
 	FirstLease time.Duration // owner lease that a fresh process assumes
+	// BestEffortLease is the OwnerLease of jobs that are not kept: they must be
+	// gone before their callers send them again.
+	BestEffortLease time.Duration
+	StopGrace       time.Duration // from the end of an owner's lease: time to stop its runs one by one
 }
 
+// recentFor is how long the ends of best-effort runs are remembered, for an
+// owner whose connection broke.
+const recentFor = 5 * time.Second
+
 // Table is the core of one worker.
 type Table struct {
 	cfg   Settings
@@ -51,22 +59,41 @@
 	lapsing   bool
 	noRoomAt  time.Time
 
-	partitions map[uint32]*ownership
-	owners     map[string]*owner
+	scopes map[scope]*ownership
+	recent map[wire.RunRef]recentEnd
+	owners map[string]*owner
 
 	effects Effects
 }
 
-// ownership is who owns a partition, as far as this worker was told.
+// scope is what an owner owns: a partition, or the best-effort jobs of the
+// coordinator process of that name.
+type scope struct {
+	partition uint32
+	member    string // empty for a partition
+}
+
+// recentEnd is the end of a best-effort run.
+type recentEnd struct {
+	told wire.RunEnd
+	at   time.Time
+}
+
+// ownership is who owns a scope, as far as this worker was told.
 type ownership struct {
 	epoch   uint64
 	owner   string
 	expires time.Time
 	told    bool // the owner has had all that is known of the partition
+	// condemned is when the runs were told to stop since the lease is over; zero
+	// while it is not.
+	condemned time.Time
 }
 
 // owner is a connected coordinator.
 type owner struct {
+	member       string
+	claims       []wire.RunRef // to be answered as soon as all is known
 	heartbeatSeq uint64
 	startSeq     uint64
 	fenced       []uint32
@@ -86,7 +113,7 @@
 // run is one run of a task here.
 type run struct {
 	order     wire.RunOrder
-	partition uint32
+	scope     scope
 	state     runState
 	due       time.Time
 	firstSent time.Time
@@ -97,10 +124,10 @@
 
 // end is an end that the backend server remembers.
 type end struct {
-	number    uint64
-	partition uint32
-	told      wire.RunEnd
-	kept      bool
+	number uint64
+	scope  scope
+	told   wire.RunEnd
+	kept   bool
 }
 
 // Send is a message to a connected owner.
@@ -129,12 +156,13 @@
 // New returns a table; now is when the process began.
 func New(cfg Settings, now time.Time) *Table {
 	return &Table{
-		cfg:        cfg,
-		epoch:      now,
-		runs:       make(map[wire.RunRef]*run),
-		ends:       make(map[uint64]*end),
-		partitions: make(map[uint32]*ownership),
-		owners:     make(map[string]*owner),
+		cfg:    cfg,
+		epoch:  now,
+		runs:   make(map[wire.RunRef]*run),
+		ends:   make(map[uint64]*end),
+		scopes: make(map[scope]*ownership),
+		recent: make(map[wire.RunRef]recentEnd),
+		owners: make(map[string]*owner),
 	}
 }
 
@@ -214,7 +242,7 @@
 
 // endRun tells the owner of an end that the backend server does not list.
 func (t *Table) endRun(now time.Time, r *run, how wire.End, reason string) {
-	p := t.partitions[r.partition]
+	p := t.scopes[r.scope]
 	if p == nil {
 		return
 	}
--- /dev/null
+++ b/scheduler/besteffort.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// submitBestEffort takes a job that is not kept. It lives as long as somebody
+// waits for its end.
+func (c *Core) submitBestEffort(now time.Time, call Call, s *durable.Submission) {
+	if j := c.bestEffort[s.ID]; j != nil {
+		if !j.sub.SameContent(s) {
+			c.fail(call, s.ID, failure.SubmissionMismatch)
+			return
+		}
+		j.calls = append(j.calls, call)
+		return
+	}
+	if c.active >= c.cfg.MaxJobs {
+		c.fail(call, s.ID, failure.Overloaded)
+		return
+	}
+	j := newJob(s, now)
+	j.kept = true
+	j.calls = append(j.calls, call)
+	c.bestEffort[s.ID] = j
+	c.active++
+	c.release(now, j)
+}
+
+// Abandon tells the core that a caller no longer waits. A best-effort job that
+// nobody waits for is cancelled.
+func (c *Core) Abandon(now time.Time, call Call, id durable.JobID) {
+	delete(c.callers, call)
+	j := c.bestEffort[id]
+	if j == nil {
+		return
+	}
+	for i, waiting := range j.calls {
+		if waiting == call {
+			j.calls = append(j.calls[:i], j.calls[i+1:]...)
+			break
+		}
+	}
+	if len(j.calls) == 0 {
+		c.finish(now, j, durable.Cancelled, "caller_left")
+	}
+}
+
+// answerBestEffort tells the callers of a job's end, and forgets it.
+func (c *Core) answerBestEffort(j *job) {
+	for _, call := range j.calls {
+		c.reply(Reply{Call: call, ID: j.id, State: j.state})
+	}
+	delete(c.bestEffort, j.id)
+}
+
+// claimRuns asks a worker what became of best-effort runs that were ordered
+// before the connection broke.
+func (c *Core) claimRuns(w *worker) {
+	m := &wire.ClaimRuns{}
+	w.claimed = nil
+	for t := range w.assigned {
+		if t.job.sub.BestEffort {
+			w.claimed = append(w.claimed, t)
+			m.Runs = append(m.Runs, t.ref())
+		}
+	}
+	if len(m.Runs) > 0 {
+		c.send(w.name, m)
+	}
+}
+
+// claimsAnswered takes the worker's answer: what it does not know never runs.
+func (c *Core) claimsAnswered(now time.Time, w *worker, m *wire.PartitionRuns) {
+	known := make(map[wire.RunRef]bool, len(m.Running)+len(m.Ended))
+	for _, ref := range m.Running {
+		known[ref] = true
+	}
+	for i := range m.Ended {
+		known[m.Ended[i].Ref] = true
+		c.end(now, w, &m.Ended[i])
+	}
+	claimed := w.claimed
+	w.claimed = nil
+	for _, t := range claimed {
+		if t.worker == w && !known[t.ref()] {
+			c.note(Note{What: "run_absent", Task: t.id.String(), Run: t.run, Worker: w.name})
+			c.unassign(t)
+			c.enqueue(now, t)
+		}
+	}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -19,21 +19,23 @@
 
 // Settings of a Core.
 type Settings struct {
-	Partitions   uint32
-	DataCentre   string
-	Heartbeat    time.Duration // between heartbeats to a worker
-	Suspect      time.Duration // silence after which a worker's connection is given up
-	Doubt        time.Duration // after the last heartbeat: what a silent worker ran is dead
-	CommitGap    time.Duration // least time between two commits of a partition
-	LazyCommit   time.Duration // how long an end may wait that no caller waits for
-	CallLimit    time.Duration // after which a caller is told that the commit is unknown
-	RetryAfter   time.Duration // what refused callers are told
-	CommitRetry  time.Duration // pause after the store refused a commit
-	KeepFinal    time.Duration // how long final states are kept
-	MaxBatch     int           // bytes of one commit
-	MaxJobs      int           // jobs held at once, final ones apart
-	StragglerX   float64       // a run is stopped after so many times its estimate
-	StragglerMin time.Duration // and this much more
+	Partitions uint32
+	DataCentre string
+	Heartbeat  time.Duration // between heartbeats to a worker
+	Suspect    time.Duration // silence after which a worker's connection is given up
+	Doubt      time.Duration // after the last heartbeat: what a silent worker ran is dead
+	// BestEffortDoubt is the Doubt of runs of best-effort jobs.
+	BestEffortDoubt time.Duration
+	CommitGap       time.Duration // least time between two commits of a partition
+	LazyCommit      time.Duration // how long an end may wait that no caller waits for
+	CallLimit       time.Duration // after which a caller is told that the commit is unknown
+	RetryAfter      time.Duration // what refused callers are told
+	CommitRetry     time.Duration // pause after the store refused a commit
+	KeepFinal       time.Duration // how long final states are kept
+	MaxBatch        int           // bytes of one commit
+	MaxJobs         int           // jobs held at once, final ones apart
+	StragglerX      float64       // a run is stopped after so many times its estimate
+	StragglerMin    time.Duration // and this much more
 }
 
 // Call names a caller who waits for a reply.
@@ -100,6 +102,7 @@
 	cfg        Settings
 	random     *rand.Rand
 	partitions map[uint32]*partition
+	bestEffort map[durable.JobID]*job // jobs that are not kept
 	workers    map[string]*worker
 	ready      map[string]*readyQueue // by service
 	callers    map[Call]waitingCall
@@ -120,6 +123,7 @@
 		cfg:        cfg,
 		random:     rand.New(rand.NewPCG(seed, 1)),
 		partitions: make(map[uint32]*partition),
+		bestEffort: make(map[durable.JobID]*job),
 		workers:    make(map[string]*worker),
 		ready:      make(map[string]*readyQueue),
 		callers:    make(map[Call]waitingCall),
@@ -178,11 +182,27 @@
 	return p
 }
 
+// find returns the job, whoever keeps it.
+func (c *Core) find(id durable.JobID) *job {
+	if j := c.bestEffort[id]; j != nil {
+		return j
+	}
+	if p := c.partitions[id.Partition(c.cfg.Partitions)]; p != nil {
+		return p.jobs[id]
+	}
+	return nil
+}
+
 // Owns returns whether calls about the job can be answered here.
 func (c *Core) Owns(id durable.JobID) bool { return c.owned(id) != nil }
 
-// Submit takes a job. The reply comes once the store has it.
+// Submit takes a job. The reply comes once the store has it; that to a
+// best-effort job once it has ended.
 func (c *Core) Submit(now time.Time, call Call, s *durable.Submission) {
+	if s.BestEffort {
+		c.submitBestEffort(now, call, s)
+		return
+	}
 	p := c.owned(s.ID)
 	if p == nil {
 		c.fail(call, s.ID, failure.NoOwner)
@@ -247,7 +267,7 @@
 		c.reply(Reply{Call: call, ID: id, State: j.durable})
 	default:
 		if !j.state.Final() {
-			c.finish(now, p, j, durable.Cancelled, "cancelled")
+			c.finish(now, j, durable.Cancelled, "cancelled")
 		}
 		j.cancels = append(j.cancels, call)
 		c.callers[call] = waitingCall{id, now}
@@ -258,6 +278,11 @@
 // Waiting returns, by queue, the number of jobs none of whose tasks has begun.
 func (c *Core) Waiting() map[string]uint32 {
 	counts := make(map[string]uint32)
+	for _, j := range c.bestEffort {
+		if !j.begun {
+			counts[j.sub.Queue.Name]++
+		}
+	}
 	for _, p := range c.partitions {
 		for _, j := range p.jobs {
 			if j.sub != nil && j.kept && !j.begun && !j.state.Final() {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -178,25 +178,37 @@
 			continue
 		}
 		heap.Pop(q)
-		p := c.partitions[t.id.Job.Partition(c.cfg.Partitions)]
-		if p == nil || p.suspended {
+		epoch, ok := c.epochOf(t.job)
+		if !ok {
 			passed = append(passed, t)
 			continue
 		}
-		c.order(now, p, t, w, orders)
+		c.order(now, epoch, t, w, orders)
 	}
 	for _, t := range passed {
 		heap.Push(q, t)
 	}
 }
 
-func (c *Core) order(now time.Time, p *partition, t *task, cand *candidate, orders map[*worker]*wire.StartRuns) {
+// epochOf returns the epoch under which the job's tasks may be ordered now.
+func (c *Core) epochOf(j *job) (epoch uint64, ok bool) {
+	if j.sub.BestEffort {
+		return 0, true
+	}
+	p := c.partitions[j.id.Partition(c.cfg.Partitions)]
+	if p == nil || p.suspended {
+		return 0, false
+	}
+	return p.epoch, true
+}
+
+func (c *Core) order(now time.Time, epoch uint64, t *task, cand *candidate, orders map[*worker]*wire.StartRuns) {
 	w := cand.w
 	cand.free = cand.free.Sub(t.step.Need)
 	if cand.shaky || w.judge.failing >= failingMax || w.judge.slowness >= slowX {
 		w.judge.probedAt = now
 	}
-	t.nextRun(p.epoch)
+	t.nextRun(epoch)
 	c.assign(now, t, w)
 	t.startSeq = w.startSeq + 1
 	m := orders[w]
@@ -206,7 +218,8 @@
 	}
 	m.Runs = append(m.Runs, wire.RunOrder{
 		Ref:        t.ref(),
-		Epoch:      p.epoch,
+		Epoch:      epoch,
+		BestEffort: t.job.sub.BestEffort,
 		Spec:       t.job.sub.Spec,
 		Need:       t.step.Need,
 		Priority:   t.job.sub.Queue.Priority,
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -20,6 +20,7 @@
 	startSeq   uint64
 	told       map[uint32]uint64 // partitions whose runs it has told us, by epoch
 	assigned   map[*task]struct{}
+	claimed    []*task // asked for since the connection is new
 	judge      judge
 }
 
@@ -102,6 +103,7 @@
 	}
 	if first {
 		c.heartbeat(now, w)
+		c.claimRuns(w)
 	}
 }
 
@@ -127,7 +129,7 @@
 		if w.up && now.Sub(w.beatAt) >= c.cfg.Heartbeat {
 			c.heartbeat(now, w)
 		}
-		if !w.up && now.Sub(w.beatAt) > c.cfg.Doubt {
+		if !w.up {
 			c.writeOff(now, w)
 		}
 		if w.up {
@@ -138,7 +140,15 @@
 
 // writeOff frees the tasks of a worker whose leases are over.
 func (c *Core) writeOff(now time.Time, w *worker) {
+	silent := now.Sub(w.beatAt)
 	for t := range w.assigned {
+		doubt := c.cfg.Doubt
+		if t.job.sub.BestEffort {
+			doubt = c.cfg.BestEffortDoubt
+		}
+		if silent <= doubt {
+			continue
+		}
 		c.note(Note{What: "run_written_off", Task: t.id.String(), Run: t.run, Worker: w.name})
 		c.unassign(t)
 		c.enqueue(now, t)
@@ -148,6 +158,10 @@
 // Runs takes all that a worker knows of a partition.
 func (c *Core) Runs(now time.Time, name string, m *wire.PartitionRuns) {
 	w := c.workers[name]
+	if w != nil && m.Partition == wire.BestEffortRuns {
+		c.claimsAnswered(now, w, m)
+		return
+	}
 	p := c.partitions[m.Partition]
 	if w == nil || p == nil || p.epoch != m.Epoch {
 		return
@@ -163,7 +177,7 @@
 		c.end(now, w, &e)
 	}
 	for t := range w.assigned {
-		if t.id.Job.Partition(c.cfg.Partitions) == m.Partition && !here[t.ref()] {
+		if !t.job.sub.BestEffort && t.id.Job.Partition(c.cfg.Partitions) == m.Partition && !here[t.ref()] {
 			c.note(Note{What: "run_absent", Task: t.id.String(), Run: t.run, Worker: name})
 			c.unassign(t)
 			c.enqueue(now, t)
@@ -210,13 +224,9 @@
 }
 
 func (c *Core) end(now time.Time, w *worker, e *wire.RunEnd) {
-	p := c.partitions[e.Ref.Task.Job.Partition(c.cfg.Partitions)]
-	if p == nil {
-		return
-	}
-	j := p.jobs[e.Ref.Task.Job]
+	j := c.find(e.Ref.Task.Job)
 	if j == nil || j.state.Final() {
-		c.endOfFinal(now, w, p, j, e)
+		c.endOfFinal(now, w, j, e)
 		return
 	}
 	t := j.find(e.Ref.Task)
@@ -228,12 +238,16 @@
 	c.unqueue(t)
 	c.unassign(t)
 	t.run = max(t.run, e.Ref.Run)
-	c.apply(now, w, p, t, e)
+	c.apply(now, w, t, e)
 }
 
 // endOfFinal acknowledges an end that no longer matters; not before the final
 // state is in the store.
-func (c *Core) endOfFinal(now time.Time, w *worker, p *partition, j *job, e *wire.RunEnd) {
+func (c *Core) endOfFinal(now time.Time, w *worker, j *job, e *wire.RunEnd) {
+	p := c.partitions[e.Ref.Task.Job.Partition(c.cfg.Partitions)]
+	if p == nil {
+		return
+	}
 	if j == nil || j.durable.Final() {
 		c.sendKept([]ack{{w.name, e.Ref}})
 		return
@@ -243,7 +257,7 @@
 }
 
 // apply decides what an end means for its task.
-func (c *Core) apply(now time.Time, w *worker, p *partition, t *task, e *wire.RunEnd) {
+func (c *Core) apply(now time.Time, w *worker, t *task, e *wire.RunEnd) {
 	how := wire.End(e.How)
 	j := t.job
 	c.note(Note{What: "run_ended", Task: t.id.String(), Run: t.run, Worker: w.name, Reason: how.String() + " " + e.Reason, Number: e.RunMS, Usual: how == wire.EndDone})
@@ -253,28 +267,35 @@
 	switch how {
 	case wire.EndDone:
 		w.judge.ran(slowness(t, e.RunMS))
-		c.taskDone(now, p, t)
+		c.taskDone(now, t)
 	case wire.EndFailed:
 		w.judge.failed()
 		t.failures++
 		t.avoid = append(t.avoid, w.name)
 		if t.failures >= j.sub.Queue.MaxAttempts {
-			c.finish(now, p, j, durable.Failed, "attempts_spent")
+			c.finish(now, j, durable.Failed, "attempts_spent")
 		} else {
 			c.enqueue(now, t)
 		}
 	default:
 		c.enqueue(now, t)
 	}
-	if how == wire.EndNotRun || how == wire.EndLost {
-		return // the backend server does not list it
+	if j.sub.BestEffort || how == wire.EndNotRun || how == wire.EndLost {
+		return // there is nothing to keep, or the backend server does not list it
 	}
 	j.acks = append(j.acks, ack{w.name, e.Ref})
 	by := now.Add(c.cfg.LazyCommit)
 	if j.state.Final() {
 		by = now
 	}
-	p.change(by, j)
+	c.change(by, j)
+}
+
+// change notes that a kept job's progress is to be written.
+func (c *Core) change(by time.Time, j *job) {
+	if p := c.partitions[j.id.Partition(c.cfg.Partitions)]; p != nil {
+		p.change(by, j)
+	}
 }
 
 func slowness(t *task, runMS int64) float64 {
@@ -284,11 +305,11 @@
 	return float64(runMS) / float64(t.step.EstimateMS)
 }
 
-func (c *Core) taskDone(now time.Time, p *partition, t *task) {
+func (c *Core) taskDone(now time.Time, t *task) {
 	j := t.job
 	j.done(t)
 	if j.left == 0 {
-		c.finish(now, p, j, durable.Completed, "all_done")
+		c.finish(now, j, durable.Completed, "all_done")
 		return
 	}
 	if j.stepLeft[t.id.Step] == 0 {
@@ -297,7 +318,7 @@
 }
 
 // finish brings a job to a final state. Callers see it when it is in the store.
-func (c *Core) finish(now time.Time, p *partition, j *job, state durable.State, reason string) {
+func (c *Core) finish(now time.Time, j *job, state durable.State, reason string) {
 	j.state = state
 	c.active--
 	c.note(Note{What: "job_" + state.String(), Job: j.id, Reason: reason, Number: now.Sub(j.received).Milliseconds(), Usual: state == durable.Completed})
@@ -309,7 +330,11 @@
 			c.unassign(t)
 		}
 	}
-	p.change(now, j)
+	if j.sub.BestEffort {
+		c.answerBestEffort(j)
+		return
+	}
+	c.change(now, j)
 }
 
 func (c *Core) stop(t *task) {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -35,6 +35,7 @@
 	KindJobReply       Kind = 19
 	KindQueueCounts    Kind = 20
 	KindHandOver       Kind = 21
+	KindClaimRuns      Kind = 22
 )
 
 // String returns the kind's name, as used in metric labels.
@@ -82,6 +83,8 @@
 		return "queue_counts"
 	case KindHandOver:
 		return "hand_over"
+	case KindClaimRuns:
+		return "claim_runs"
 	}
 	return "unknown"
 }
@@ -92,7 +95,7 @@
 		KindHello, KindPlace, KindCancel, KindResults,
 		KindClaim, KindClaimed, KindFetch, KindFetched, KindPing, KindLeave,
 		KindOwnerHeartbeat, KindWorkerStatus, KindStartRuns, KindStopRuns, KindRunEnds, KindEndsKept,
-		KindPartitionRuns, KindJobCall, KindJobReply, KindQueueCounts, KindHandOver,
+		KindPartitionRuns, KindJobCall, KindJobReply, KindQueueCounts, KindHandOver, KindClaimRuns,
 	}
 }
 
@@ -166,6 +169,9 @@
 // WireKind returns KindHandOver.
 func (*HandOver) WireKind() Kind { return KindHandOver }
 
+// WireKind returns KindClaimRuns.
+func (*ClaimRuns) WireKind() Kind { return KindClaimRuns }
+
 // The ways in which a frame can be wrong. The connection is of no use after
 // any of them.
 var (
@@ -300,6 +306,8 @@
 		return &QueueCounts{}
 	case KindHandOver:
 		return &HandOver{}
+	case KindClaimRuns:
+		return &ClaimRuns{}
 	}
 	return nil
 }
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -1,9 +1,13 @@
 package wire
 
-import "github.com/lichenfall/lichenfall/durable"
+import (
+	"math"
+
+	"github.com/lichenfall/lichenfall/durable"
+)
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver
+//msgp:tuple PartitionEpoch OwnerHeartbeat WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver ClaimRuns
 //msgp:limit arrays:65536
 
 // PartitionEpoch says that the sender owns a partition, with the fencing epoch
@@ -49,6 +53,7 @@
 type RunOrder struct {
 	Ref        RunRef
 	Epoch      uint64 // of the owner of the task's partition
+	BestEffort bool   // the job is not kept; the sender owns it while it lives
 	Spec       string
 	Need       durable.Resources
 	Priority   int32
@@ -166,5 +171,15 @@
 	Counts     []QueueCount
 }
 
+// BestEffortRuns is the Partition of a PartitionRuns that answers ClaimRuns.
+const BestEffortRuns = math.MaxUint32
+
+// ClaimRuns asks what became of runs of best-effort jobs that were ordered over
+// an earlier connection. It is answered by a PartitionRuns; a run that is in
+// neither of its lists does not run and never will.
+type ClaimRuns struct {
+	Runs []RunRef
+}
+
 // HandOver asks other coordinators to look at once which partitions are theirs.
 type HandOver struct{}
--- a/worker/control.go
+++ b/worker/control.go
@@ -68,7 +68,7 @@
 	switch ev.kind {
 	case evUp:
 		w.owners[ev.conn.Name] = ev.conn
-		w.table.OwnerUp(now, ev.conn.Name)
+		w.table.OwnerUp(now, ev.conn.Name, ev.conn.Peer().Incarnation)
 		w.log.Info("coordinator_up", zap.String("peer", ev.conn.Peer().Address))
 	case evMessage:
 		w.message(now, ev.conn.Name, ev.message)
@@ -110,6 +110,8 @@
 		w.table.Start(now, from, m)
 	case *wire.StopRuns:
 		w.table.Stop(now, from, m)
+	case *wire.ClaimRuns:
+		w.table.Claim(now, from, m)
 	case *wire.EndsKept:
 		w.table.Kept(now, from, m)
 	}
