scheduler: keep late work from making other work late

Ruled out: executors failing or slow (19 failed runs), the store (not used). Change: tasks past their due time go to a queue that gets only what room is left; a best-effort job that cannot begin in time is refused at once.

--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -16,6 +16,7 @@
 	kind       wire.CallKind
 	id         durable.JobID
 	submission *durable.Submission
+	budget     time.Duration // how long our own caller waits
 	since      time.Time
 	answer     chan scheduler.Reply // of our own callers
 	conn       *peer.Conn           // of calls that were passed on to us
@@ -42,6 +43,9 @@
 func (c *Coordinator) ask(ctx context.Context, cl *call) scheduler.Reply {
 	cl.answer = make(chan scheduler.Reply, 1)
 	cl.since = time.Now()
+	if end, ok := ctx.Deadline(); ok {
+		cl.budget = time.Until(end)
+	}
 	c.loop.Post(event{kind: evCall, call: cl})
 	select {
 	case r := <-cl.answer:
@@ -73,7 +77,7 @@
 	number := scheduler.Call(cl.number)
 	switch cl.kind {
 	case wire.CallSubmit:
-		c.core.Submit(now, number, cl.submission)
+		c.core.Submit(now, number, cl.submission, cl.budget)
 	case wire.CallState:
 		c.core.State(now, number, cl.id)
 	case wire.CallCancel:
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -137,6 +137,7 @@
 		return
 	}
 	c.toldAt = now
+	c.core.Others(c.reachable())
 	mine := c.core.Waiting()
 	m := &wire.QueueCounts{Partitions: c.core.Partitions()}
 	for queue, jobs := range mine {
@@ -150,6 +151,17 @@
 	c.sumCounts(mine)
 }
 
+// reachable returns how many other coordinators are connected.
+func (c *Coordinator) reachable() int {
+	n := 0
+	for _, l := range c.links {
+		if l.conn != nil && l.role == wire.RoleCoordinator {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Coordinator) sumCounts(mine map[string]uint32) {
 	all := maps.Clone(mine)
 	for _, counts := range c.counts {
--- /dev/null
+++ b/scheduler/admission.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/durable"
+)
+
+// admitShare is the share of its slack that a job may be thought to wait.
+const admitShare = 0.8
+
+// admit returns whether a best-effort job can be thought to begin in time. It
+// is refused at once otherwise, unless there is room for it now.
+func (c *Core) admit(now time.Time, j *job) bool {
+	service := j.sub.Queue.Service
+	var room, capacity int64
+	for _, cand := range c.candidates(now, service) {
+		capacity += cand.w.status.Capacity.CPU
+		room += max(0, cand.free.CPU)
+	}
+	if capacity == 0 {
+		return true // nobody can run it yet: it waits its time
+	}
+	if firstNeed(j).CPU <= room {
+		return true
+	}
+	first := &j.tasks[0]
+	wait := c.workBefore(service, first.want) / (float64(capacity) / float64(1+c.others))
+	return wait <= admitShare*float64(first.due.Sub(now))
+}
+
+// firstNeed returns what the tasks take that could begin at once.
+func firstNeed(j *job) durable.Resources {
+	var need durable.Resources
+	for i := range j.tasks {
+		if len(j.tasks[i].step.DependsOn) == 0 {
+			need = need.Add(j.tasks[i].step.Need)
+		}
+	}
+	return need
+}
+
+// workBefore returns the work of the tasks that are on time and come first, in
+// thousandths of a core times nanoseconds.
+func (c *Core) workBefore(service string, want time.Time) float64 {
+	work := 0.0
+	for _, t := range c.readyOf(service).onTime.tasks {
+		if t.want.Before(want) {
+			work += float64(t.step.Need.CPU) * float64(t.step.Estimate())
+		}
+	}
+	return work
+}
+
+// Others tells the core how many other coordinators share the workers.
+func (c *Core) Others(n int) { c.others = n }
--- a/scheduler/besteffort.go
+++ b/scheduler/besteffort.go
@@ -10,7 +10,7 @@
 
 // submitBestEffort takes a job that is not kept. It lives as long as somebody
 // waits for its end.
-func (c *Core) submitBestEffort(now time.Time, call Call, s *durable.Submission) {
+func (c *Core) submitBestEffort(now time.Time, call Call, s *durable.Submission, budget time.Duration) {
 	if j := c.bestEffort[s.ID]; j != nil {
 		if !j.sub.SameContent(s) {
 			c.fail(call, s.ID, failure.SubmissionMismatch)
@@ -24,7 +24,12 @@
 		return
 	}
 	j := newJob(s, now)
+	if !c.admit(now, j) {
+		c.fail(call, s.ID, failure.Overloaded)
+		return
+	}
 	j.kept = true
+	j.giveUp = now.Add(patience(j, now, budget))
 	j.calls = append(j.calls, call)
 	c.bestEffort[s.ID] = j
 	c.active++
@@ -94,3 +99,35 @@
 		}
 	}
 }
+
+// holdShare is the share of a caller's time after which a job that has not
+// begun is given up.
+const holdShare = 0.4
+
+// patience returns how long a job may wait to begin: while its answer is still
+// of use, and the caller has time to try again.
+func patience(j *job, now time.Time, budget time.Duration) time.Duration {
+	useful := j.late.Sub(now) - j.longest
+	if budget > 0 {
+		useful = min(useful, time.Duration(holdShare*float64(budget)))
+	}
+	return useful
+}
+
+// giveUp refuses best-effort jobs that have not begun in time.
+func (c *Core) giveUp(now time.Time) {
+	for _, j := range c.bestEffort {
+		if j.begun || now.Before(j.giveUp) {
+			continue
+		}
+		c.note(Note{What: "job_given_up", Job: j.id, Number: now.Sub(j.received).Milliseconds()})
+		for i := range j.tasks {
+			c.unqueue(&j.tasks[i])
+		}
+		for _, call := range j.calls {
+			c.fail(call, j.id, failure.Overloaded)
+		}
+		delete(c.bestEffort, j.id)
+		c.active--
+	}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -107,6 +107,7 @@
 	ready      map[string]*readyQueue // by service
 	callers    map[Call]waitingCall
 	active     int // jobs that are not final
+	others     int // coordinators that share the workers
 
 	effects Effects
 }
@@ -145,6 +146,7 @@
 	c.tickWorkers(now)
 	c.tickPartitions(now)
 	c.tickCallers(now)
+	c.giveUp(now)
 }
 
 // tickCallers answers those who have waited too long for the store.
@@ -197,10 +199,11 @@
 func (c *Core) Owns(id durable.JobID) bool { return c.owned(id) != nil }
 
 // Submit takes a job. The reply comes once the store has it; that to a
-// best-effort job once it has ended.
-func (c *Core) Submit(now time.Time, call Call, s *durable.Submission) {
+// best-effort job once it has ended. budget is how long the caller waits; 0 when
+// that is not known.
+func (c *Core) Submit(now time.Time, call Call, s *durable.Submission, budget time.Duration) {
 	if s.BestEffort {
-		c.submitBestEffort(now, call, s)
+		c.submitBestEffort(now, call, s, budget)
 		return
 	}
 	p := c.owned(s.ID)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -9,30 +9,75 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// readyQueue holds the tasks of one service that want a worker: those that can
-// still be in time, the others, and those whose job is of no use any more.
+// readyQueue holds the tasks of one service that want a worker.
 type readyQueue struct {
-	tasks []*task
+	onTime taskHeap // can still begin by their due time
+	late   taskHeap // cannot; they get what room the others leave
 }
 
-func (q *readyQueue) Len() int { return len(q.tasks) }
+func newReadyQueue() *readyQueue {
+	return &readyQueue{
+		onTime: taskHeap{before: func(a, b *task) bool { return a.want.Before(b.want) }},
+		late:   taskHeap{before: lateBefore},
+	}
+}
+
+// lateBefore puts jobs that have begun first: they hold work that is of no use
+// alone.
+func lateBefore(a, b *task) bool {
+	if a.job.begun != b.job.begun {
+		return a.job.begun
+	}
+	return a.due.Before(b.due)
+}
+
+func (q *readyQueue) Len() int { return q.onTime.Len() + q.late.Len() }
+
+func (q *readyQueue) push(now time.Time, t *task) {
+	t.heap = &q.onTime
+	if now.After(t.due) {
+		t.heap = &q.late
+	}
+	heap.Push(t.heap, t)
+}
+
+// sortLate moves the tasks whose due time is over to the late ones.
+func (q *readyQueue) sortLate(now time.Time) {
+	for i := 0; i < q.onTime.Len(); {
+		t := q.onTime.tasks[i]
+		if !now.After(t.due) {
+			i++
+			continue
+		}
+		heap.Remove(&q.onTime, i)
+		q.push(now, t)
+	}
+}
+
+// taskHeap is a heap of tasks in some order.
+type taskHeap struct {
+	tasks  []*task
+	before func(a, b *task) bool
+}
+
+func (q *taskHeap) Len() int { return len(q.tasks) }
 
-func (q *readyQueue) Less(i, k int) bool { return q.tasks[i].due.Before(q.tasks[k].due) }
+func (q *taskHeap) Less(i, k int) bool { return q.before(q.tasks[i], q.tasks[k]) }
 
-func (q *readyQueue) Swap(i, k int) {
+func (q *taskHeap) Swap(i, k int) {
 	q.tasks[i], q.tasks[k] = q.tasks[k], q.tasks[i]
 	q.tasks[i].position, q.tasks[k].position = i, k
 }
 
 // Push is called by container/heap.
-func (q *readyQueue) Push(x any) {
+func (q *taskHeap) Push(x any) {
 	t := x.(*task)
 	t.position = len(q.tasks)
 	q.tasks = append(q.tasks, t)
 }
 
 // Pop is called by container/heap.
-func (q *readyQueue) Pop() any {
+func (q *taskHeap) Pop() any {
 	last := len(q.tasks) - 1
 	t := q.tasks[last]
 	q.tasks[last] = nil
@@ -56,7 +101,7 @@
 }
 
 // enqueue makes the task wait for a worker.
-func (c *Core) enqueue(_ time.Time, t *task) {
+func (c *Core) enqueue(now time.Time, t *task) {
 	if t.job.state.Final() || t.position >= 0 {
 		return
 	}
@@ -65,17 +110,21 @@
 		return
 	}
 	t.state = taskReady
-	q := c.ready[t.job.sub.Queue.Service]
+	c.readyOf(t.job.sub.Queue.Service).push(now, t)
+}
+
+func (c *Core) readyOf(service string) *readyQueue {
+	q := c.ready[service]
 	if q == nil {
-		q = &readyQueue{}
-		c.ready[t.job.sub.Queue.Service] = q
+		q = newReadyQueue()
+		c.ready[service] = q
 	}
-	heap.Push(q, t)
+	return q
 }
 
 func (c *Core) unqueue(t *task) {
 	if t.position >= 0 {
-		heap.Remove(c.ready[t.job.sub.Queue.Service], t.position)
+		heap.Remove(t.heap, t.position)
 	}
 }
 
@@ -109,7 +158,11 @@
 		if q.Len() == 0 {
 			continue
 		}
-		c.dispatchService(now, q, c.candidates(now, service), orders)
+		q.sortLate(now)
+		workers := c.candidates(now, service)
+		if c.dispatchHeap(now, &q.onTime, workers, true, orders) {
+			c.dispatchHeap(now, &q.late, workers, false, orders)
+		}
 	}
 	for w, m := range orders {
 		w.startSeq++
@@ -168,26 +221,28 @@
 	return len(w.assigned) > 0 || now.Sub(w.judge.probedAt) < trickle
 }
 
-func (c *Core) dispatchService(now time.Time, q *readyQueue, workers []candidate, orders map[*worker]*wire.StartRuns) {
+// dispatchHeap orders what it can of the heap, and returns whether nothing is
+// left that could have been ordered with more room.
+func (c *Core) dispatchHeap(now time.Time, q *taskHeap, workers []candidate, wait bool, orders map[*worker]*wire.StartRuns) bool {
 	var passed []*task
 	for q.Len() > 0 && len(passed) < lookAhead {
-		t := q.tasks[0]
-		w := c.choose(t, workers)
-		if w == nil {
-			passed = append(passed, heap.Pop(q).(*task))
-			continue
-		}
-		heap.Pop(q)
+		t := heap.Pop(q).(*task)
 		epoch, ok := c.epochOf(t.job)
 		if !ok {
 			passed = append(passed, t)
 			continue
 		}
-		c.order(now, epoch, t, w, orders)
+		cand := c.choose(t, workers, wait)
+		if cand == nil {
+			passed = append(passed, t)
+			continue
+		}
+		c.order(now, epoch, t, cand, orders)
 	}
 	for _, t := range passed {
 		heap.Push(q, t)
 	}
+	return len(passed) == 0
 }
 
 // epochOf returns the epoch under which the job's tasks may be ordered now.
@@ -232,12 +287,12 @@
 // choose returns the worker with the most room that the task may run on: a
 // sound one where it fits, else a sound one where it waits a little, else any
 // where it fits.
-func (c *Core) choose(t *task, workers []candidate) *candidate {
+func (c *Core) choose(t *task, workers []candidate, wait bool) *candidate {
 	var best *candidate
 	bestScore := 0.0
 	for i := range workers {
 		cand := &workers[i]
-		score, ok := c.score(t, cand)
+		score, ok := c.score(t, cand, wait)
 		if ok && (best == nil || score > bestScore) {
 			best, bestScore = cand, score
 		}
@@ -251,10 +306,10 @@
 	scoreWaits = 5.0
 	scoreNear  = 0.02 // same data centre
 	scoreRack  = 1.0  // near the task's data
-	overcommit = 0.12 // share of the capacity that may wait at a worker
+	overcommit = 0.06 // share of the capacity that may wait at a worker
 )
 
-func (c *Core) score(t *task, cand *candidate) (score float64, ok bool) {
+func (c *Core) score(t *task, cand *candidate, wait bool) (score float64, ok bool) {
 	capacity := cand.w.status.Capacity
 	if !t.step.Need.Fits(capacity) || !allowed(t, cand.w) || capacity.CPU == 0 {
 		return 0, false
@@ -265,7 +320,7 @@
 		return 0, false
 	case t.step.Need.Fits(cand.free):
 		score = scoreFits
-	case share > -overcommit:
+	case wait && share > -overcommit && cand.w.status.Waiting < mostWaiting:
 		score = scoreWaits
 	default:
 		return 0, false
@@ -282,6 +337,10 @@
 	return score + share + cand.jitter, true
 }
 
+// mostWaiting is how many runs may wait at a worker to which more are sent
+// that have to wait.
+const mostWaiting = 2
+
 // allowed returns whether the step's constraints let the task run there.
 func allowed(t *task, w *worker) bool {
 	if t.step.Requires != "" && !slices.Contains(w.status.Labels, t.step.Requires) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -31,9 +31,11 @@
 	startSeq uint64 // of the StartRuns that carried it
 	patience int    // how often it was stopped as a straggler
 	avoid    []string
-	check    string // checkpoint
-	due      time.Time
-	position int // in the ready queue; -1 when it is not there
+	check    string    // checkpoint
+	want     time.Time // order among those that are on time
+	due      time.Time // by when it has to begin to be on time
+	heap     *taskHeap
+	position int // in heap; -1 when it is in none
 }
 
 // job is one job of an owned partition.
@@ -48,14 +50,16 @@
 	left     int // tasks that are not done
 	stepLeft []int
 	received time.Time
-	due      time.Time // the objective
-	late     time.Time // after which it is worth nothing
-	calls    []Call    // wait for the submission
-	cancels  []Call    // wait for the cancel
-	acks     []ack     // ends to call kept with the next progress
-	dirty    bool      // progress is to be written
-	final    time.Time // when it became final
-	doubt    bool      // tasks may be on workers that have not answered
+	longest  time.Duration // the longest chain of work
+	due      time.Time     // the objective
+	late     time.Time     // after which it is worth nothing
+	calls    []Call        // wait for the submission
+	cancels  []Call        // wait for the cancel
+	acks     []ack         // ends to call kept with the next progress
+	dirty    bool          // progress is to be written
+	final    time.Time     // when it became final
+	doubt    bool          // tasks may be on workers that have not answered
+	giveUp   time.Time     // a best-effort job that has not begun by then is refused
 }
 
 // ack is an end that a worker is told to forget.
@@ -95,12 +99,14 @@
 	for _, d := range chains {
 		longest = max(longest, d)
 	}
+	j.longest = longest
 	objective := time.Duration(j.sub.Queue.Stretch*float64(longest)) + time.Duration(j.sub.Queue.TargetMS)*time.Millisecond
 	j.due = now.Add(objective)
 	j.late = now.Add(lateX * objective)
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		t.due = j.due.Add(-chains[t.id.Step])
+		t.want = now.Add(t.due.Sub(now) / 2)
 	}
 }
 
