scheduler, runtable: come back at once after a restart, end what is of no use

Ruled out: connections (back within 30 ms), the store. Change: workers register what their backend server has and read it after a restart; best-effort runs have numbers of their own, so that unclaimed ones are stopped one by one; admission waits for workers that are coming up; jobs that are too late are ended.

--- a/config/jobstore.go
+++ b/config/jobstore.go
@@ -30,7 +30,7 @@
 		ReadLimit:    Duration(3 * time.Second),
 		Tell:         Duration(250 * time.Millisecond),
 		Flush:        Duration(500 * time.Millisecond),
-		ReconnectMax: Duration(400 * time.Millisecond),
+		ReconnectMax: Duration(150 * time.Millisecond),
 	}
 }
 
@@ -173,7 +173,7 @@
 		StartLimit:      Duration(700 * time.Millisecond),
 		CallLimit:       Duration(200 * time.Millisecond),
 		MaxWaiting:      6,
-		FirstLease:      Duration(400 * time.Millisecond),
+		FirstLease:      Duration(250 * time.Millisecond),
 	}
 }
 
--- a/runtable/answers.go
+++ b/runtable/answers.go
@@ -158,6 +158,7 @@
 	if !t.firstHold {
 		t.adopt(now, a.Running)
 		t.firstHold = true
+		t.adopted = now
 		t.tellAll()
 		t.touchAll()
 	}
@@ -174,7 +175,7 @@
 		need := durable.Resources{CPU: t.identity.Capacity.CPU / adoptedShare}
 		t.runs[l.Ref] = &run{
 			order:   wire.RunOrder{Ref: l.Ref, Need: need},
-			scope:   t.partitionOf(l.Ref),
+			scope:   t.firstScope(l.Ref),
 			state:   runRunning,
 			started: now,
 		}
@@ -201,7 +202,7 @@
 	if !l.Valid {
 		return
 	}
-	e.scope = t.partitionOf(l.Ref)
+	e.scope = t.firstScope(l.Ref)
 	e.told = wire.RunEnd{Ref: l.Ref, How: uint8(l.How), Checkpoint: l.Checkpoint}
 	if r := t.runs[l.Ref]; r != nil {
 		e.scope = r.scope
--- a/runtable/owners.go
+++ b/runtable/owners.go
@@ -144,6 +144,18 @@
 	return t.partitionOf(order.Ref)
 }
 
+// firstScope returns the scope of a run that an earlier process started. That
+// of a best-effort run is nobody's until its coordinator claims it.
+func (t *Table) firstScope(ref wire.RunRef) scope {
+	if ref.BestEffort() {
+		return scope{member: unclaimed}
+	}
+	return t.partitionOf(ref)
+}
+
+// unclaimed stands for the coordinator of best-effort runs that nobody claims.
+const unclaimed = "(unclaimed)"
+
 func (t *Table) partitionOf(ref wire.RunRef) scope {
 	return scope{partition: ref.Task.Job.Partition(t.cfg.Partitions)}
 }
@@ -298,7 +310,7 @@
 			return
 		}
 	}
-	if now.Sub(t.epoch) > t.cfg.FirstLease {
+	if t.firstHold && now.Sub(t.adopted) > t.cfg.FirstLease {
 		t.expireUnowned(now)
 	}
 }
@@ -313,9 +325,13 @@
 	}
 }
 
-// expireUnowned lapses what an earlier process left here and nobody claims.
+// expireUnowned ends what an earlier process left here and nobody claims.
 func (t *Table) expireUnowned(now time.Time) {
 	for _, r := range t.runs {
+		if r.scope.member == unclaimed {
+			t.stopRun(now, r)
+			continue
+		}
 		if t.scopes[r.scope] == nil {
 			t.lapse(now, "no_owner")
 			return
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -47,6 +47,7 @@
 	clock     time.Duration
 	clockAt   time.Time
 	firstHold bool // a hold with our token has been answered
+	adopted   time.Time
 
 	runs    map[wire.RunRef]*run
 	waiting []*run
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -18,8 +18,8 @@
 		capacity += cand.w.status.Capacity.CPU
 		room += max(0, cand.free.CPU)
 	}
-	if capacity == 0 {
-		return true // nobody can run it yet: it waits its time
+	if capacity == 0 || c.someUnknown(now) {
+		return true // it waits its time for those who may come
 	}
 	if firstNeed(j).CPU <= room {
 		return true
@@ -29,6 +29,20 @@
 	return wait <= admitShare*float64(first.due.Sub(now))
 }
 
+// comingUp is how long a connected worker may take to say what it has.
+const comingUp = 1500 * time.Millisecond
+
+// someUnknown returns whether there are workers that may have room but have
+// not said so yet.
+func (c *Core) someUnknown(now time.Time) bool {
+	for _, w := range c.workers {
+		if w.up && !w.status.Ready && now.Sub(w.upAt) < comingUp {
+			return true
+		}
+	}
+	return false
+}
+
 // firstNeed returns what the tasks take that could begin at once.
 func firstNeed(j *job) durable.Resources {
 	var need durable.Resources
--- a/scheduler/besteffort.go
+++ b/scheduler/besteffort.go
@@ -117,6 +117,10 @@
 // giveUp refuses best-effort jobs that have not begun in time.
 func (c *Core) giveUp(now time.Time) {
 	for _, j := range c.bestEffort {
+		if j.begun && now.After(j.late) {
+			c.tooLate(now, j)
+			continue
+		}
 		if j.begun || now.Before(j.giveUp) {
 			continue
 		}
@@ -131,3 +135,12 @@
 		c.active--
 	}
 }
+
+// tooLate ends a job that has begun and whose answer is of no use any more.
+func (c *Core) tooLate(now time.Time, j *job) {
+	for _, call := range j.calls {
+		c.fail(call, j.id, failure.DeadlineWhileRunning)
+	}
+	j.calls = nil
+	c.finish(now, j, durable.Cancelled, "too_late")
+}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -35,17 +35,53 @@
 
 func (q *readyQueue) push(now time.Time, t *task) {
 	t.heap = &q.onTime
-	if now.After(t.due) {
+	if t.isLate(now) {
 		t.heap = &q.late
 	}
 	heap.Push(t.heap, t)
 }
 
+// isLate returns whether the task should only have what room others leave. A
+// job of which little is left is finished as long as its answer is of use.
+func (t *task) isLate(now time.Time) bool {
+	if t.job.left*littleLeft <= len(t.job.tasks) {
+		return now.After(t.job.late)
+	}
+	return now.After(t.due)
+}
+
+// littleLeft is the share of a job, as a divisor, that is worth finishing late.
+const littleLeft = 4
+
+// begin marks the job as begun; what is left of it comes first from now on.
+func (c *Core) begin(j *job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	j.hurry()
+}
+
+// hurry puts what is left of the job before all others.
+func (j *job) hurry() {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		t.want = j.received.Add(-begunFirst)
+		if t.position >= 0 {
+			heap.Fix(t.heap, t.position)
+		}
+	}
+}
+
+// begunFirst puts the tasks of jobs that have begun before all others, in the
+// order in which the jobs came.
+const begunFirst = time.Hour
+
 // sortLate moves the tasks whose due time is over to the late ones.
 func (q *readyQueue) sortLate(now time.Time) {
 	for i := 0; i < q.onTime.Len(); {
 		t := q.onTime.tasks[i]
-		if !now.After(t.due) {
+		if !t.isLate(now) {
 			i++
 			continue
 		}
@@ -133,7 +169,7 @@
 	t.worker = w
 	t.sentAt = now
 	t.startSeq = 0
-	t.job.begun = true
+	c.begin(t.job)
 	w.assigned[t] = struct{}{}
 }
 
@@ -177,6 +213,7 @@
 	free   durable.Resources
 	shaky  bool // slow or failing against its peers
 	jitter float64
+	full   bool // handed a task back just now
 }
 
 // candidates returns the workers of the service that take tasks.
@@ -193,7 +230,7 @@
 				free = free.Sub(t.step.Need)
 			}
 		}
-		out = append(out, candidate{w: w, free: free, jitter: c.random.Float64() * spread})
+		out = append(out, candidate{w: w, free: free, jitter: c.random.Float64() * spread, full: now.Before(w.fullUntil)})
 		slow = append(slow, w.judge.slowness)
 	}
 	slices.Sort(slow)
@@ -320,7 +357,7 @@
 		return 0, false
 	case t.step.Need.Fits(cand.free):
 		score = scoreFits
-	case wait && share > -overcommit && cand.w.status.Waiting < mostWaiting:
+	case wait && !cand.full && share > -overcommit && cand.w.status.Waiting < mostWaiting:
 		score = scoreWaits
 	default:
 		return 0, false
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -141,6 +141,9 @@
 	const runsPerEpoch = 16
 	t.starts++
 	base := uint32(epoch-t.job.sub.Epoch) * runsPerEpoch
+	if t.job.sub.BestEffort {
+		base = wire.BestEffortRun
+	}
 	t.run = max(t.run+1, base+t.starts)
 	return t.run
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -15,6 +15,8 @@
 	up         bool
 	status     wire.WorkerStatus
 	heardAt    time.Time // when the newest status came
+	upAt       time.Time // when the connection was made
+	fullUntil  time.Time // it had no room for what we thought would fit or wait there
 	beatAt     time.Time // when the newest heartbeat was sent
 	beatSeq    uint64
 	startSeq   uint64
@@ -31,6 +33,10 @@
 	probedAt time.Time
 }
 
+// fullPause is how long nothing that would have to wait is sent to a worker that
+// handed a task back.
+const fullPause = 15 * time.Millisecond
+
 // smoothing is the weight of one more run.
 const smoothing = 0.2
 
@@ -69,6 +75,7 @@
 	w.dataCentre = dataCentre
 	w.status = wire.WorkerStatus{}
 	w.heardAt = now
+	w.upAt = now
 	w.startSeq, w.beatSeq = 0, 0
 	w.told = make(map[uint32]uint64)
 	c.note(Note{What: "worker_up", Worker: name})
@@ -278,6 +285,9 @@
 			c.enqueue(now, t)
 		}
 	default:
+		if how == wire.EndNotRun {
+			w.fullUntil = now.Add(fullPause)
+		}
 		c.enqueue(now, t)
 	}
 	if j.sub.BestEffort || how == wire.EndNotRun || how == wire.EndLost {
--- a/store/store.go
+++ b/store/store.go
@@ -53,6 +53,17 @@
 	Address    string // where it listens for its peers
 	Role       Role
 	DataCentre string
+	Backend    *Backend // of a worker, once it is known
+}
+
+// Backend is what a worker last knew of its backend server, for the next
+// process at its address.
+type Backend struct {
+	Instance string
+	Service  string
+	Ready    bool
+	Capacity durable.Resources
+	Labels   []string
 }
 
 // Store is the log service as one process uses it. Its methods may be called
@@ -71,6 +82,8 @@
 	Newest(ctx context.Context, partition uint32) ([]durable.Record, error)
 	// Register makes the process known to all.
 	Register(ctx context.Context, m Member) error
+	// Member returns what is registered for the address.
+	Member(ctx context.Context, address string) (m Member, found bool, err error)
 	// Members calls f with the changes of the registered processes, first with
 	// all of them, until ctx ends.
 	Members(ctx context.Context, f func(joined []Member))
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -49,6 +49,14 @@
 	Run  uint32
 }
 
+// BestEffortRun is the number above which the runs of best-effort jobs are
+// numbered, so that a worker knows them from those of kept jobs, also when an
+// earlier process started them.
+const BestEffortRun = 1 << 20
+
+// BestEffort returns whether the run is one of a best-effort job.
+func (r RunRef) BestEffort() bool { return r.Run > BestEffortRun }
+
 // RunOrder asks for one run of a task.
 type RunOrder struct {
 	Ref        RunRef
--- a/worker/control.go
+++ b/worker/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/lichenfall/lichenfall/peer"
 	"github.com/lichenfall/lichenfall/runtable"
+	"github.com/lichenfall/lichenfall/store"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -79,9 +80,7 @@
 	case evIdentity:
 		w.identified(now, ev.identity)
 	case evFound:
-		if w.table.Identity().Instance == "" {
-			w.identified(now, ev.identity)
-		}
+		w.found(now, ev.identity)
 	case evStarted:
 		w.table.StartAnswered(now, ev.start, ev.result)
 	case evStopped:
@@ -94,12 +93,28 @@
 	}
 }
 
+// found takes what was asked for or remembered; what the backend server itself
+// says goes before it.
+func (w *Worker) found(now time.Time, id runtable.Identity) {
+	known := w.table.Identity()
+	unknown := known.Instance == ""
+	remembered := known.Instance == id.Instance && known.Service == ""
+	if unknown || remembered {
+		w.identified(now, id)
+	}
+}
+
 func (w *Worker) identified(now time.Time, id runtable.Identity) {
 	before := w.table.Identity()
 	if before.Instance != id.Instance || before.Ready != id.Ready {
 		w.log.Info("backend_state", zap.String("instance", id.Instance), zap.Bool("ready", id.Ready), zap.Int64("cpu", id.Capacity.CPU))
 	}
 	w.table.Identify(now, id)
+	changed := before.Instance != id.Instance || before.Ready != id.Ready || before.Service != id.Service
+	if changed && id.Service != "" {
+		b := store.Backend(id)
+		w.wantRegistered(&b)
+	}
 }
 
 func (w *Worker) message(now time.Time, from string, m wire.Message) {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/config"
-	"github.com/lichenfall/lichenfall/coordinator"
 	"github.com/lichenfall/lichenfall/logging"
 	"github.com/lichenfall/lichenfall/loop"
 	"github.com/lichenfall/lichenfall/metrics"
@@ -52,6 +51,8 @@
 	halt  context.Context
 	end   context.CancelFunc
 	kick  chan struct{} // a hold is wanted at once
+
+	register chan *store.Backend // to be registered
 }
 
 const (
@@ -72,6 +73,8 @@
 		table:   runtable.New(cfg.Runs.Core(), time.Now()),
 		owners:  make(map[string]*peer.Conn),
 		kick:    make(chan struct{}, 1),
+
+		register: make(chan *store.Backend, 1),
 	}
 	w.halt, w.end = context.WithCancel(context.Background())
 	opts := peer.Options{MaxFrame: cfg.Peers.MaxFrame, Counter: m, ClockBound: peer.NoClockBound}
@@ -84,8 +87,8 @@
 	w.peers.Serve(w.hello, handler{w})
 	go w.keepHolding()
 	go w.identify()
-	member := store.Member{Address: w.address(), Role: store.RoleWorker, DataCentre: cfg.Box.DataCentre}
-	go coordinator.Register(w.halt, s, member, log)
+	w.wantRegistered(nil)
+	go w.keepRegistered()
 	log.Info("worker_started", zap.String("worker", w.name), zap.String("peers", w.address()))
 	return w, nil
 }
@@ -110,21 +113,83 @@
 }
 
 // identify asks a backend server that was there before us which life it is, so
-// that its lease is renewed before its next heartbeat.
+// that its lease is renewed before its next heartbeat; and the store what an
+// earlier process here knew of that life, so that it can be used at once.
 func (w *Worker) identify() {
 	const again = 50 * time.Millisecond
-	for range 20 {
+	const tries = 20
+	for range tries {
 		ctx, cancel := context.WithTimeout(w.halt, w.cfg.Runs.CallLimit.D())
 		instance, ok := w.backend.Identify(ctx)
 		cancel()
 		if ok {
 			w.loop.Post(event{kind: evFound, identity: runtable.Identity{Instance: instance}})
+			w.recall(instance)
 			return
 		}
 		pause(w.halt, again)
 	}
 }
 
+// recall reads what is registered of the life.
+func (w *Worker) recall(instance string) {
+	ctx, cancel := context.WithTimeout(w.halt, registerLimit)
+	defer cancel()
+	m, found, err := w.store.Member(ctx, w.address())
+	if err != nil {
+		w.log.Warn("member_unread", zap.Error(err))
+		return
+	}
+	if !found || m.Backend == nil || m.Backend.Instance != instance {
+		return
+	}
+	w.loop.Post(event{kind: evFound, identity: runtable.Identity(*m.Backend)})
+}
+
+const (
+	registerLimit = 2 * time.Second
+	registerAgain = 300 * time.Millisecond
+)
+
+// keepRegistered makes the process known, and each change of its backend
+// server.
+func (w *Worker) keepRegistered() {
+	for {
+		select {
+		case <-w.halt.Done():
+			return
+		case b := <-w.register:
+			m := store.Member{Address: w.address(), Role: store.RoleWorker, DataCentre: w.cfg.Box.DataCentre, Backend: b}
+			w.registerOne(m)
+		}
+	}
+}
+
+// registerOne tries until it is done or there is something newer to register.
+func (w *Worker) registerOne(m store.Member) {
+	for w.halt.Err() == nil && len(w.register) == 0 {
+		ctx, cancel := context.WithTimeout(w.halt, registerLimit)
+		err := w.store.Register(ctx, m)
+		cancel()
+		if err == nil {
+			w.log.Info("registered", zap.String("address", m.Address))
+			return
+		}
+		w.log.Warn("register_failed", zap.Error(err))
+		pause(w.halt, registerAgain)
+	}
+}
+
+// wantRegistered registers what is known of the backend server; a newer want
+// replaces one that waits. It is called by the control goroutine.
+func (w *Worker) wantRegistered(b *store.Backend) {
+	select {
+	case <-w.register:
+	default:
+	}
+	w.register <- b
+}
+
 // Heartbeat takes what the backend server says of itself.
 func (w *Worker) Heartbeat(id runtable.Identity) {
 	w.loop.Post(event{kind: evIdentity, identity: id})
