scheduler: a worker's list does not speak of later orders

Change: the list names the newest order that was handled before. Questions about a job that is about to end wait for it.

--- a/config/jobstore.go
+++ b/config/jobstore.go
@@ -62,6 +62,7 @@
 	RetryAfter      Duration `json:"retry_after"`   // what refused callers are told
 	CommitRetry     Duration `json:"commit_retry"`  // pause after the store refused
 	KeepFinal       Duration `json:"keep_final"`    // how long the state of ended jobs is kept
+	StateWait       Duration `json:"state_wait"`    // how long the answer to a question waits for a job's end
 	MaxBatch        int      `json:"max_batch"`     // bytes of one commit
 	MaxJobs         int      `json:"max_jobs"`      // jobs of one coordinator that have not ended
 	StragglerX      float64  `json:"straggler_x"`   // a run is stopped after so many times its estimate
@@ -84,6 +85,7 @@
 		RetryAfter:      Duration(time.Second),
 		CommitRetry:     Duration(150 * time.Millisecond),
 		KeepFinal:       Duration(150 * time.Second),
+		StateWait:       Duration(150 * time.Millisecond),
 		MaxBatch:        1 << 20,
 		MaxJobs:         20000,
 		StragglerX:      3,
@@ -106,6 +108,7 @@
 	c.span("scheduler.retry_after", s.RetryAfter, Duration(10*time.Millisecond), 60*second)
 	c.span("scheduler.commit_retry", s.CommitRetry, 0, 10*second)
 	c.span("scheduler.keep_final", s.KeepFinal, second, 24*3600*second)
+	c.span("scheduler.state_wait", s.StateWait, 0, 10*second)
 	between(c, "scheduler.max_batch", s.MaxBatch, 4096, 64<<20)
 	between(c, "scheduler.max_jobs", s.MaxJobs, 1, 10000000)
 	between(c, "scheduler.straggler_x", s.StragglerX, 1, 1000)
@@ -139,6 +142,7 @@
 		RetryAfter:      s.RetryAfter.D(),
 		CommitRetry:     s.CommitRetry.D(),
 		KeepFinal:       s.KeepFinal.D(),
+		StateWait:       s.StateWait.D(),
 		MaxBatch:        s.MaxBatch,
 		MaxJobs:         s.MaxJobs,
 		StragglerX:      s.StragglerX,
--- a/coordinator/appender.go
+++ b/coordinator/appender.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,44 +12,31 @@
 )
 
 // appender appends the commits of one partition under one epoch, each until
-// its fate is known: an append without an answer may be carried out later, and
-// is repeated under its number, which makes all copies one.
+// its fate is known.
 type appender struct {
-	store  store.Store
-	limit  time.Duration // for one call
-	number uint64        // of the next append
-	log    *logging.Log
+	store     store.Store
+	limit     time.Duration // for one call
+	appending *store.Appending
+	log       *logging.Log
 }
 
 const appendAgain = 40 * time.Millisecond
 
 func (a *appender) append(ctx context.Context, c scheduler.Commit) scheduler.CommitResult {
-	unknown := false
 	for ctx.Err() == nil {
 		err := a.once(ctx, c)
-		var sequence *store.SequenceError
-		switch {
-		case err == nil:
-			a.number++
+		switch a.appending.Answered(err) {
+		case store.Done:
 			return scheduler.CommitOK
-		case errors.As(err, &sequence):
-			if unknown && sequence.Wanted > a.number {
-				// It was carried out, longer ago than the store remembers.
-				a.number = sequence.Wanted
-				return scheduler.CommitOK
-			}
-			a.number = sequence.Wanted
-			continue
-		case errors.Is(err, store.ErrFenced) && unknown:
-			return scheduler.CommitLost
-		case errors.Is(err, store.ErrFenced):
-			return scheduler.CommitFenced
-		case errors.Is(err, store.ErrRefused) && !unknown:
+		case store.Refused:
 			return scheduler.CommitRefused
-		case !errors.Is(err, store.ErrRefused):
-			unknown = true
+		case store.Fenced:
+			return scheduler.CommitFenced
+		case store.Lost:
+			return scheduler.CommitLost
 		}
-		a.log.Warn("append_repeated", zap.Uint32("partition", c.Partition), zap.Uint64("epoch", c.Epoch), zap.Uint64("number", a.number), zap.Error(err))
+		a.log.Warn("append_repeated", zap.Uint32("partition", c.Partition), zap.Uint64("epoch", c.Epoch),
+			zap.Uint64("number", a.appending.Number()), zap.Error(err))
 		sleep(ctx, appendAgain)
 	}
 	return scheduler.CommitLost
@@ -59,5 +45,5 @@
 func (a *appender) once(ctx context.Context, c scheduler.Commit) error {
 	call, cancel := context.WithTimeout(ctx, a.limit)
 	defer cancel()
-	return a.store.Append(call, c.Partition, c.Epoch, a.number, c.Records)
+	return a.store.Append(call, c.Partition, c.Epoch, a.appending.Number(), c.Records)
 }
--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -79,7 +79,7 @@
 	case wire.CallSubmit:
 		c.core.Submit(now, number, cl.submission, cl.budget)
 	case wire.CallState:
-		c.core.State(now, number, cl.id)
+		c.core.State(now, number, cl.id, cl.budget)
 	case wire.CallCancel:
 		c.core.Cancel(now, number, cl.id)
 	}
@@ -95,7 +95,7 @@
 	if l == nil || l.conn == nil {
 		return false
 	}
-	m := &wire.JobCall{Seq: cl.number, Kind: uint8(cl.kind), ID: cl.id, Submission: cl.submission}
+	m := &wire.JobCall{Seq: cl.number, Kind: uint8(cl.kind), ID: cl.id, Submission: cl.submission, BudgetMS: cl.budget.Milliseconds()}
 	if l.conn.Send(m) != nil {
 		return false
 	}
@@ -125,7 +125,7 @@
 
 // takeForwarded takes a call that another coordinator passes on.
 func (c *Coordinator) takeForwarded(now time.Time, conn *peer.Conn, m *wire.JobCall) {
-	c.take(now, &call{kind: wire.CallKind(m.Kind), id: m.ID, submission: m.Submission, since: now, conn: conn, seq: m.Seq})
+	c.take(now, &call{kind: wire.CallKind(m.Kind), id: m.ID, submission: m.Submission, budget: time.Duration(m.BudgetMS) * time.Millisecond, since: now, conn: conn, seq: m.Seq})
 }
 
 func (c *Coordinator) forwardAnswered(now time.Time, m *wire.JobReply) {
--- a/coordinator/owning.go
+++ b/coordinator/owning.go
@@ -221,7 +221,7 @@
 }
 
 func (c *Coordinator) write(ctx context.Context, w *writer, partition uint32, epoch uint64) {
-	a := &appender{store: c.store, limit: c.cfg.Ownership.AppendLimit.D(), number: 1, log: c.log}
+	a := &appender{store: c.store, limit: c.cfg.Ownership.AppendLimit.D(), appending: store.NewAppending(), log: c.log}
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/fakestore/store.go
@@ -0,0 +1,174 @@
+package fakestore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/queues"
+	"github.com/lichenfall/lichenfall/store"
+)
+
+// Store is a store.Store for processes on real clocks.
+type Store struct {
+	mu            sync.Mutex
+	state         *State
+	configuration *queues.Configuration
+	changed       chan struct{} // closed and replaced at each change
+	refusing      bool
+	losing        bool
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns an empty store of so many partitions.
+func New(partitions uint32) *Store {
+	return &Store{state: NewState(partitions), changed: make(chan struct{})}
+}
+
+// errLost is the error of a call that was carried out without an answer.
+var errLost = errs.New("the answer was lost")
+
+// Refuse makes the store turn away all calls, or take them again.
+func (s *Store) Refuse(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = refuse
+}
+
+// LoseAnswers makes the store carry out appends without answering, or answer
+// again.
+func (s *Store) LoseAnswers(lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing = lose
+}
+
+// Configure puts a configuration in force.
+func (s *Store) Configure(c *queues.Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configuration = c
+	s.change()
+}
+
+func (s *Store) change() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Join implements store.Store.
+func (s *Store) Join(_ context.Context, name string, generation uint64, ttl time.Duration) (store.Assignment, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return store.Assignment{}, store.ErrRefused
+	}
+	return s.state.Join(time.Now(), name, generation, ttl), nil
+}
+
+// Leave implements store.Store.
+func (s *Store) Leave(_ context.Context, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return store.ErrRefused
+	}
+	s.state.Leave(time.Now(), name)
+	return nil
+}
+
+// Fence implements store.Store.
+func (s *Store) Fence(_ context.Context, partition uint32, epoch uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return store.ErrRefused
+	}
+	return s.state.Fence(partition, epoch)
+}
+
+// Append implements store.Store.
+func (s *Store) Append(_ context.Context, partition uint32, epoch, number uint64, records []durable.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return store.ErrRefused
+	}
+	err := s.state.Append(partition, epoch, number, records)
+	if s.losing {
+		return errLost
+	}
+	return err
+}
+
+// Newest implements store.Store.
+func (s *Store) Newest(_ context.Context, partition uint32) ([]durable.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return nil, store.ErrRefused
+	}
+	return s.state.Newest(partition), nil
+}
+
+// Register implements store.Store.
+func (s *Store) Register(_ context.Context, m store.Member) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return store.ErrRefused
+	}
+	s.state.Register(m)
+	s.change()
+	return nil
+}
+
+// Member implements store.Store.
+func (s *Store) Member(_ context.Context, address string) (store.Member, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return store.Member{}, false, store.ErrRefused
+	}
+	m, ok := s.state.registered[address]
+	return m, ok, nil
+}
+
+// Members implements store.Store.
+func (s *Store) Members(ctx context.Context, f func([]store.Member)) {
+	s.follow(ctx, func() func() {
+		members := s.state.Registered()
+		return func() { f(members) }
+	})
+}
+
+// Configurations implements store.Store.
+func (s *Store) Configurations(ctx context.Context, f func(*queues.Configuration)) {
+	s.follow(ctx, func() func() {
+		c := s.configuration
+		return func() {
+			if c != nil {
+				f(c)
+			}
+		}
+	})
+}
+
+// follow reads under the lock, and tells without it, at each change.
+func (s *Store) follow(ctx context.Context, read func() (tell func())) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		changed := s.changed
+		tell := read()
+		s.mu.Unlock()
+		tell()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
--- a/runtable/owners.go
+++ b/runtable/owners.go
@@ -82,7 +82,7 @@
 		return
 	}
 	p.told = true
-	m := &wire.PartitionRuns{Partition: key.partition, Epoch: p.epoch}
+	m := &wire.PartitionRuns{Partition: key.partition, Epoch: p.epoch, StartSeq: t.owners[p.owner].startSeq}
 	for ref, r := range t.runs {
 		if r.scope == key {
 			m.Running = append(m.Running, ref)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -32,6 +32,7 @@
 	RetryAfter      time.Duration // what refused callers are told
 	CommitRetry     time.Duration // pause after the store refused a commit
 	KeepFinal       time.Duration // how long final states are kept
+	StateWait       time.Duration // how long the answer to a question waits for a job's end
 	MaxBatch        int           // bytes of one commit
 	MaxJobs         int           // jobs held at once, final ones apart
 	StragglerX      float64       // a run is stopped after so many times its estimate
@@ -106,8 +107,9 @@
 	workers    map[string]*worker
 	ready      map[string]*readyQueue // by service
 	callers    map[Call]waitingCall
-	active     int // jobs that are not final
-	others     int // coordinators that share the workers
+	watched    map[*job]struct{} // jobs with watchers
+	active     int               // jobs that are not final
+	others     int               // coordinators that share the workers
 
 	effects Effects
 }
@@ -128,6 +130,7 @@
 		workers:    make(map[string]*worker),
 		ready:      make(map[string]*readyQueue),
 		callers:    make(map[Call]waitingCall),
+		watched:    make(map[*job]struct{}),
 	}
 }
 
@@ -147,6 +150,7 @@
 	c.tickPartitions(now)
 	c.tickCallers(now)
 	c.giveUp(now)
+	c.tickWatchers(now)
 }
 
 // tickCallers answers those who have waited too long for the store.
@@ -242,17 +246,57 @@
 	}
 }
 
-// State tells where a job stands.
-func (c *Core) State(_ time.Time, call Call, id durable.JobID) {
+// State tells where a job stands. The reply to a caller of a job that is not
+// final waits a little for its end, within the time that the caller gives.
+func (c *Core) State(now time.Time, call Call, id durable.JobID, budget time.Duration) {
 	p := c.owned(id)
-	switch {
-	case p == nil:
+	if p == nil {
 		c.fail(call, id, failure.NoOwner)
-	case p.jobs[id] == nil:
+		return
+	}
+	j := p.jobs[id]
+	switch {
+	case j == nil:
 		c.fail(call, id, failure.JobNotFound)
+	case j.durable.Final() || !j.begun || budget <= 0:
+		c.reply(Reply{Call: call, ID: id, State: j.shown()})
 	default:
-		c.reply(Reply{Call: call, ID: id, State: p.jobs[id].shown()})
+		j.watchers = append(j.watchers, watcher{call, now.Add(min(c.cfg.StateWait, budget/2))})
+		c.watched[j] = struct{}{}
+	}
+}
+
+// watcher is a caller who waits for the end of a job.
+type watcher struct {
+	call  Call
+	until time.Time
+}
+
+// tickWatchers answers those who have waited for a job's end long enough.
+func (c *Core) tickWatchers(now time.Time) {
+	for j := range c.watched {
+		left := j.watchers[:0]
+		for _, w := range j.watchers {
+			if now.Before(w.until) {
+				left = append(left, w)
+				continue
+			}
+			c.reply(Reply{Call: w.call, ID: j.id, State: j.shown()})
+		}
+		j.watchers = left
+		if len(left) == 0 {
+			delete(c.watched, j)
+		}
+	}
+}
+
+// answerWatchers tells all who wait for the end of the job.
+func (c *Core) answerWatchers(j *job) {
+	for _, w := range j.watchers {
+		c.reply(Reply{Call: w.call, ID: j.id, State: j.shown()})
 	}
+	j.watchers = nil
+	delete(c.watched, j)
 }
 
 // Cancel cancels a job. The reply comes once the store has it.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -55,6 +55,7 @@
 	late     time.Time     // after which it is worth nothing
 	calls    []Call        // wait for the submission
 	cancels  []Call        // wait for the cancel
+	watchers []watcher     // wait a little for the end
 	acks     []ack         // ends to call kept with the next progress
 	dirty    bool          // progress is to be written
 	final    time.Time     // when it became final
--- a/scheduler/partition.go
+++ b/scheduler/partition.go
@@ -121,6 +121,7 @@
 			c.fail(call, j.id, failure.CommitUnknown)
 		}
 	}
+	c.answerWatchers(j)
 	if j.state.Final() {
 		return
 	}
@@ -266,6 +267,7 @@
 	ch.job.durable = ch.state
 	if ch.state.Final() {
 		ch.job.final = now
+		c.answerWatchers(ch.job)
 		ch.job.sub = nil
 		ch.job.tasks = nil
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -78,6 +78,9 @@
 	w.upAt = now
 	w.startSeq, w.beatSeq = 0, 0
 	w.told = make(map[uint32]uint64)
+	for t := range w.assigned {
+		t.startSeq = 0 // ordered over an earlier connection
+	}
 	c.note(Note{What: "worker_up", Worker: name})
 }
 
@@ -184,6 +187,9 @@
 		c.end(now, w, &e)
 	}
 	for t := range w.assigned {
+		if t.startSeq > m.StartSeq {
+			continue // ordered after the worker wrote this
+		}
 		if !t.job.sub.BestEffort && t.id.Job.Partition(c.cfg.Partitions) == m.Partition && !here[t.ref()] {
 			c.note(Note{What: "run_absent", Task: t.id.String(), Run: t.run, Worker: name})
 			c.unassign(t)
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -135,6 +135,7 @@
 type PartitionRuns struct {
 	Partition uint32
 	Epoch     uint64
+	StartSeq  uint64   // the newest StartRuns that was handled before
 	Running   []RunRef // running, waiting or being stopped
 	Ended     []RunEnd // not yet called kept
 }
@@ -155,6 +156,7 @@
 	Kind       uint8 // a CallKind
 	ID         durable.JobID
 	Submission *durable.Submission // of CallSubmit
+	BudgetMS   int64               // how long the caller waits; 0 when that is not known
 }
 
 // JobReply answers a JobCall.
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -263,8 +263,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JobCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint8(o, z.Kind)
 	o, err = z.ID.MarshalMsg(o)
@@ -281,6 +281,7 @@
 			return
 		}
 	}
+	o = msgp.AppendInt64(o, z.BudgetMS)
 	return
 }
 
@@ -292,8 +293,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -327,6 +328,11 @@
 			return
 		}
 	}
+	z.BudgetMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BudgetMS")
+		return
+	}
 	o = bts
 	return
 }
@@ -339,6 +345,7 @@
 	} else {
 		s += z.Submission.Msgsize()
 	}
+	s += msgp.Int64Size
 	return
 }
 
@@ -527,10 +534,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PartitionRuns) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint32(o, z.Partition)
 	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendUint64(o, z.StartSeq)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Running)))
 	for za0001 := range z.Running {
 		// array header, size 2
@@ -561,8 +569,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Partition, bts, err = msgp.ReadUint32Bytes(bts)
@@ -575,6 +583,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.StartSeq, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartSeq")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -640,7 +653,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PartitionRuns) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Running {
 		s += 1 + z.Running[za0001].Task.Msgsize() + msgp.Uint32Size
 	}
