promises: play the cores together under random faults

Change: coordinators, workers, a stand-in store and backend servers in virtual time, faults drawn from a seed, the promises checked from what callers and backend servers see; seeds replay. Two real faults found and mended, both kept as regressions: an end told again after a reconnect was acknowledged before the store had it; a failed run that the former owner had not kept was not counted, so that a task ran after its last allowed failure. Ruled out as faults of the checks: ends noted after a lapse do not count.

--- a/durable/durable.go
+++ b/durable/durable.go
@@ -186,10 +186,11 @@
 	return "cancelled"
 }
 
-// Failure counts the failed runs of one task.
+// Failure names the failed runs of one task. They are named, not counted, since
+// a worker may tell of one again.
 type Failure struct {
-	Task  uint32 // number of the task, counted over all steps
-	Count uint32
+	Task uint32 // number of the task, counted over all steps
+	Runs []uint32
 }
 
 // Progress is the record of how far a job is. It replaces the one before.
--- a/durable/durable_gen.go
+++ b/durable/durable_gen.go
@@ -57,12 +57,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Failure) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Failure) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendUint32(o, z.Task)
-	o = msgp.AppendUint32(o, z.Count)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+	for za0001 := range z.Runs {
+		o = msgp.AppendUint32(o, z.Runs[za0001])
+	}
 	return
 }
 
@@ -83,18 +86,35 @@
 		err = msgp.WrapError(err, "Task")
 		return
 	}
-	z.Count, bts, err = msgp.ReadUint32Bytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Count")
+		err = msgp.WrapError(err, "Runs")
 		return
 	}
+	if zb0002 > zc251dc21limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Runs) >= int(zb0002) {
+		z.Runs = (z.Runs)[:zb0002]
+	} else {
+		z.Runs = make([]uint32, zb0002)
+	}
+	for za0001 := range z.Runs {
+		z.Runs[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Failure) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size
+func (z *Failure) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Runs) * (msgp.Uint32Size))
 	return
 }
 
@@ -138,7 +158,10 @@
 		// array header, size 2
 		o = append(o, 0x92)
 		o = msgp.AppendUint32(o, z.Failures[za0001].Task)
-		o = msgp.AppendUint32(o, z.Failures[za0001].Count)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Failures[za0001].Runs)))
+		for za0002 := range z.Failures[za0001].Runs {
+			o = msgp.AppendUint32(o, z.Failures[za0001].Runs[za0002])
+		}
 	}
 	return
 }
@@ -217,11 +240,28 @@
 			err = msgp.WrapError(err, "Failures", za0001, "Task")
 			return
 		}
-		z.Failures[za0001].Count, bts, err = msgp.ReadUint32Bytes(bts)
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Failures", za0001, "Count")
+			err = msgp.WrapError(err, "Failures", za0001, "Runs")
+			return
+		}
+		if zb0006 > zc251dc21limitArrays {
+			err = msgp.ErrLimitExceeded
 			return
 		}
+		if cap(z.Failures[za0001].Runs) >= int(zb0006) {
+			z.Failures[za0001].Runs = (z.Failures[za0001].Runs)[:zb0006]
+		} else {
+			z.Failures[za0001].Runs = make([]uint32, zb0006)
+		}
+		for za0002 := range z.Failures[za0001].Runs {
+			z.Failures[za0001].Runs[za0002], bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failures", za0001, "Runs", za0002)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -229,7 +269,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Progress) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.BytesPrefixSize + len([]byte(z.Done)) + msgp.ArrayHeaderSize + (len(z.Failures) * (12 + msgp.Uint32Size + msgp.Uint32Size))
+	s = 1 + msgp.Uint8Size + msgp.BytesPrefixSize + len([]byte(z.Done)) + msgp.ArrayHeaderSize
+	for za0001 := range z.Failures {
+		s += 1 + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Failures[za0001].Runs) * (msgp.Uint32Size))
+	}
 	return
 }
 
--- /dev/null
+++ b/ordered/ordered.go
@@ -0,0 +1,28 @@
+// Package ordered goes through maps in the order of their keys, so that the
+// cores decide the same from the same inputs.
+package ordered
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Keys returns the keys of the map in their order.
+func Keys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// KeysFunc returns the keys of the map in the order of compare.
+func KeysFunc[K comparable, V any](m map[K]V, compare func(a, b K) int) []K {
+	return slices.SortedFunc(maps.Keys(m), compare)
+}
+
+// Values returns the values of the map in the order of their keys.
+func Values[K cmp.Ordered, V any](m map[K]V) []V {
+	out := make([]V, 0, len(m))
+	for _, k := range Keys(m) {
+		out = append(out, m[k])
+	}
+	return out
+}
--- /dev/null
+++ b/ownership/ownership_test.go
@@ -0,0 +1,66 @@
+package ownership_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/ownership"
+	"github.com/lichenfall/lichenfall/store"
+)
+
+func TestOwnership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ownership")
+}
+
+var _ = Describe("a member's partitions", func() {
+	const ttl = time.Second
+	start := time.Unix(1000, 0)
+	var table *ownership.Table
+
+	BeforeEach(func() { table = ownership.New(ttl) })
+
+	join := func(sent, now time.Duration, generation uint64, partitions ...uint32) ownership.Change {
+		return table.Joined(start.Add(sent), start.Add(now), store.Assignment{Generation: generation, Partitions: partitions})
+	}
+
+	It("come and go with the answers", func() {
+		c := join(0, 0, 3, 1, 2)
+		Expect(c.Acquired).To(ConsistOf(uint32(1), uint32(2)))
+		Expect(c.Epoch).To(Equal(uint64(3)))
+		c = join(200*time.Millisecond, 200*time.Millisecond, 4, 2, 5)
+		Expect(c.Acquired).To(ConsistOf(uint32(5)))
+		Expect(c.Released).To(ConsistOf(uint32(1)))
+	})
+
+	It("are held from the sending of the join, not from its answer", func() {
+		join(0, 900*time.Millisecond, 1, 1)
+		Expect(table.Valid(start.Add(999 * time.Millisecond))).To(BeTrue())
+		Expect(table.Valid(start.Add(time.Second))).To(BeFalse())
+	})
+
+	It("are kept over a gap in which nothing changed", func() {
+		join(0, 0, 1, 1)
+		c := join(5*time.Second, 5*time.Second, 1, 1)
+		Expect(c.Acquired).To(BeEmpty())
+		Expect(c.Released).To(BeEmpty())
+	})
+
+	It("are read anew after a gap in which another may have had them", func() {
+		join(0, 0, 1, 1)
+		c := join(5*time.Second, 5*time.Second, 3, 1)
+		Expect(c.Released).To(ConsistOf(uint32(1)))
+		Expect(c.Acquired).To(ConsistOf(uint32(1)))
+		Expect(c.Epoch).To(Equal(uint64(3)))
+	})
+
+	It("are read anew after another owner was seen", func() {
+		join(0, 0, 1, 1)
+		table.Lost(1)
+		c := join(100*time.Millisecond, 100*time.Millisecond, 2, 1)
+		Expect(c.Acquired).To(ConsistOf(uint32(1)))
+	})
+})
--- /dev/null
+++ b/promises/backend_test.go
@@ -0,0 +1,211 @@
+package promises
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/ordered"
+	"github.com/lichenfall/lichenfall/runtable"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// backendNode is a stand-in backend server: runs under a lease on a clock of
+// its own, which may run slow.
+type backendNode struct {
+	w        *world
+	life     int
+	up       bool
+	born     time.Time
+	slowness float64 // the clock runs so much slow, such as 0.02
+	token    uint64
+	deadline time.Duration // of the lease, on its clock
+	running  map[wire.RunRef]*liveRun
+	newest   map[durable.TaskID]uint32 // greatest run that ended or was sealed
+	ended    []runtable.ListedEnd
+	count    uint64
+	capacity durable.Resources
+	failing  bool
+	lateBy   float64 // share of orders that are carried out late
+	lapsedAt time.Time
+}
+
+type liveRun struct {
+	need    durable.Resources
+	ends    time.Time
+	fails   bool
+	started time.Time
+}
+
+func newBackendNode(w *world) *backendNode {
+	b := &backendNode{w: w, capacity: durable.Resources{CPU: 8000, Memory: 8000}}
+	b.revive()
+	return b
+}
+
+func (b *backendNode) revive() {
+	b.life++
+	b.up = true
+	b.born = b.w.now
+	b.slowness = b.w.random.Float64() * 0.02
+	b.token = 0
+	b.deadline = 0
+	b.running = make(map[wire.RunRef]*liveRun)
+	b.newest = make(map[durable.TaskID]uint32)
+	b.ended = nil
+	b.count = 0
+}
+
+func (b *backendNode) crash() { b.up = false }
+
+func (b *backendNode) instance(name string) string { return fmt.Sprintf("%s/%d", name, b.life) }
+
+// clock starts above zero, as that of a life that began some time ago.
+func (b *backendNode) clock() time.Duration {
+	real := b.w.now.Sub(b.born)
+	return time.Second + time.Duration(float64(real)*(1-b.slowness))
+}
+
+func (b *backendNode) live(task durable.TaskID) int {
+	if !b.up {
+		return 0
+	}
+	b.settle()
+	n := 0
+	for ref := range b.running {
+		if ref.Task == task {
+			n++
+		}
+	}
+	return n
+}
+
+// refs returns the runs in their order.
+func (b *backendNode) refs() []wire.RunRef {
+	return ordered.KeysFunc(b.running, func(x, y wire.RunRef) int {
+		return cmp.Or(cmp.Compare(x.Task.String(), y.Task.String()), cmp.Compare(x.Run, y.Run))
+	})
+}
+
+// settle ends what has ended by now.
+func (b *backendNode) settle() {
+	if b.clock() > b.deadline {
+		b.lapsedAt = b.w.now
+		for _, ref := range b.refs() {
+			b.end(ref, wire.EndLapsed)
+		}
+		return
+	}
+	for _, ref := range b.refs() {
+		r := b.running[ref]
+		if b.w.now.Before(r.ends) {
+			continue
+		}
+		if r.fails {
+			b.end(ref, wire.EndFailed)
+		} else {
+			b.end(ref, wire.EndDone)
+		}
+	}
+}
+
+func (b *backendNode) end(ref wire.RunRef, how wire.End) {
+	delete(b.running, ref)
+	b.count++
+	b.newest[ref.Task] = max(b.newest[ref.Task], ref.Run)
+	b.w.trace("backend", ref.Task.String(), "%s run %d number %d", how, ref.Run, b.count)
+	b.ended = append(b.ended, runtable.ListedEnd{Number: b.count, Ref: ref, Valid: true, How: how})
+	if j := b.w.clients[ref.Task.Job]; j != nil {
+		j.ended(b, ref, how, b.count)
+	}
+}
+
+func (b *backendNode) extend(deadline time.Duration) {
+	most := b.clock() + time.Second
+	b.deadline = max(b.deadline, min(deadline, most))
+}
+
+// start carries an order out.
+func (b *backendNode) start(c runtable.StartCall, name string) runtable.StartResult {
+	b.settle()
+	if c.Instance != b.instance(name) {
+		return runtable.StartWrongLife
+	}
+	if c.Token < b.token {
+		return runtable.StartFenced
+	}
+	b.token = c.Token
+	if b.running[c.Ref] != nil {
+		return runtable.StartAccepted
+	}
+	if c.Ref.Run <= b.newest[c.Ref.Task] {
+		return runtable.StartOld
+	}
+	if c.Deadline <= b.clock() {
+		return runtable.StartLate
+	}
+	j := b.w.clients[c.Ref.Task.Job]
+	if j == nil {
+		b.w.broken("%v was started, and nobody sent it", c.Ref.Task)
+		return runtable.StartInvalid
+	}
+	used := durable.Resources{}
+	for _, r := range b.running {
+		used = used.Add(r.need)
+	}
+	need := j.submission.Steps[c.Ref.Task.Step].Need
+	if !need.Fits(b.capacity.Sub(used)) {
+		return runtable.StartNoRoom
+	}
+	b.w.trace(name, c.Ref.Task.String(), "starts run %d", c.Ref.Run)
+	j.starting(b, c.Ref, c.Spec)
+	b.extend(c.Deadline)
+	work := b.w.between(30*time.Millisecond, 400*time.Millisecond)
+	b.running[c.Ref] = &liveRun{need: need, started: b.w.now, ends: b.w.now.Add(work), fails: b.failing || j.poison || b.w.chance(0.02)}
+	b.w.counts["runs"]++
+	return runtable.StartAccepted
+}
+
+func (b *backendNode) stop(c runtable.StopCall, name string) {
+	b.settle()
+	if c.Instance != b.instance(name) || c.Token < b.token {
+		return
+	}
+	b.token = c.Token
+	if b.running[c.Ref] != nil {
+		b.end(c.Ref, wire.EndStopped)
+	}
+	b.newest[c.Ref.Task] = max(b.newest[c.Ref.Task], c.Ref.Run)
+}
+
+func (b *backendNode) hold(c runtable.HoldCall, name string) runtable.HoldAnswer {
+	b.settle()
+	if c.Instance != b.instance(name) {
+		return runtable.HoldAnswer{Result: runtable.HoldWrongLife}
+	}
+	if c.Token < b.token {
+		return runtable.HoldAnswer{Result: runtable.HoldFenced, Clock: b.clock()}
+	}
+	b.token = c.Token
+	if c.Deadline > 0 {
+		b.extend(c.Deadline)
+	}
+	left := b.ended[:0:0]
+	for _, e := range b.ended {
+		if e.Number > c.LastSeen {
+			left = append(left, e)
+			continue
+		}
+		if j := b.w.clients[e.Ref.Task.Job]; j != nil {
+			j.noted(b, e)
+		}
+	}
+	b.ended = left
+	a := runtable.HoldAnswer{Result: runtable.HoldOK, Clock: b.clock()}
+	for _, ref := range b.refs() {
+		a.Running = append(a.Running, runtable.ListedRun{Ref: ref})
+	}
+	a.Ended = append(a.Ended, b.ended...)
+	return a
+}
--- /dev/null
+++ b/promises/random_test.go
@@ -0,0 +1,304 @@
+package promises
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/ordered"
+)
+
+// Cases and seed of the randomised runs; longer runs set the variables.
+const (
+	defaultCases = 40
+	defaultSeed  = 20261202
+)
+
+func number(variable string, otherwise uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv(variable), 10, 64); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+func TestRandomised(t *testing.T) {
+	cases := number("LICHENFALL_CASES", defaultCases)
+	seed := number("LICHENFALL_SEED", defaultSeed)
+	counts := make(map[string]int)
+	for i := range cases {
+		w := playCase(seed + i)
+		if w.violation != "" {
+			t.Fatalf("seed %d: %s", seed+i, w.violation)
+		}
+		for _, name := range ordered.Keys(w.counts) {
+			counts[name] += w.counts[name]
+		}
+	}
+	for _, name := range ordered.Keys(counts) {
+		t.Logf("%-20s %d", name, counts[name])
+	}
+}
+
+// Lengths of a case.
+const (
+	warmUp     = 2 * time.Second
+	troubles   = 14 * time.Second
+	calm       = 25 * time.Second
+	askAgain   = 400 * time.Millisecond
+	jobsInCase = 60
+)
+
+// playCase plays one case: jobs, and faults drawn from the seed; then all heals
+// and every kept job must come to its end.
+func playCase(seed uint64) *world {
+	w := newWorld(seed)
+	for i := range jobsInCase {
+		j := newClientJob(w, i, w.chance(0.4))
+		w.after(warmUp+w.between(0, troubles), j.send)
+		if w.chance(0.1) {
+			w.after(warmUp+w.between(0, troubles+2*time.Second), j.cancel)
+		}
+	}
+	for range 1 + w.random.IntN(8) {
+		w.after(warmUp+w.between(0, troubles), w.fault)
+	}
+	w.run(warmUp + troubles)
+	w.heal()
+	w.run(calm)
+	w.finish()
+	return w
+}
+
+// fault brings one fault about.
+func (w *world) fault() {
+	faults := []struct {
+		name string
+		do   func()
+	}{
+		{"kill coordinator", func() {
+			w.killCoordinator(w.random.IntN(coordinatorCount), w.between(50*time.Millisecond, 4*time.Second))
+		}},
+		{"kill worker", func() { w.killWorker(w.random.IntN(workerCount), w.between(50*time.Millisecond, 4*time.Second)) }},
+		{"kill all", w.killAll},
+		{"pause coordinator", func() { w.pauseFor(&w.coordinators[w.random.IntN(coordinatorCount)].process) }},
+		{"pause worker", func() { w.pauseFor(&w.workers[w.random.IntN(workerCount)].process) }},
+		{"cut", w.cutSome},
+		{"store down", w.downStore},
+		{"store turns away", w.turnAway},
+		{"store loses answers", w.loseSome},
+		{"redeal", func() { w.store.Redeal(w.now, w.random.IntN(coordinatorCount)) }},
+		{"crash backend", func() { w.crashBackend(w.random.IntN(workerCount)) }},
+		{"late orders", func() { w.lateOrders(w.random.IntN(workerCount)) }},
+		{"failing backend", func() { w.failBackend(w.random.IntN(workerCount)) }},
+	}
+	f := faults[w.random.IntN(len(faults))]
+	w.counts["fault: "+f.name]++
+	f.do()
+}
+
+func (w *world) killCoordinator(i int, down time.Duration) {
+	n := w.coordinators[i]
+	if !n.alive {
+		return
+	}
+	n.kill()
+	life := n.life
+	w.after(down, func() {
+		if n.life == life {
+			n.start()
+		}
+	})
+}
+
+func (w *world) killWorker(i int, down time.Duration) {
+	n := w.workers[i]
+	if !n.alive {
+		return
+	}
+	n.kill()
+	life := n.life
+	w.after(down, func() {
+		if n.life == life {
+			n.start()
+		}
+	})
+}
+
+func (w *world) killAll() {
+	down := w.between(300*time.Millisecond, 2*time.Second)
+	for i := range w.coordinators {
+		w.killCoordinator(i, down+w.between(0, 300*time.Millisecond))
+	}
+	for i := range w.workers {
+		w.killWorker(i, down+w.between(0, 300*time.Millisecond))
+	}
+}
+
+func (w *world) pauseFor(p *process) {
+	if !p.alive || p.paused {
+		return
+	}
+	p.pause()
+	life := p.life
+	w.after(w.between(200*time.Millisecond, 5*time.Second), func() {
+		if p.life == life && p.paused {
+			p.wake()
+		}
+	})
+}
+
+// cutSome cuts one process from some others, in one or both directions.
+func (w *world) cutSome() {
+	var names []string
+	for _, n := range w.coordinators {
+		names = append(names, n.name)
+	}
+	for _, n := range w.workers {
+		names = append(names, n.name)
+	}
+	victim := names[w.random.IntN(len(names))]
+	ways := w.random.IntN(3)
+	var links []link
+	for _, other := range names {
+		if other == victim || w.chance(0.3) {
+			continue
+		}
+		if ways != 0 {
+			links = append(links, link{victim, other})
+		}
+		if ways != 1 {
+			links = append(links, link{other, victim})
+		}
+	}
+	for _, l := range links {
+		w.cut[l] = true
+	}
+	w.after(w.between(200*time.Millisecond, 6*time.Second), func() {
+		for _, l := range links {
+			delete(w.cut, l)
+		}
+	})
+}
+
+func (w *world) downStore() {
+	w.storeDown = true
+	w.after(w.between(500*time.Millisecond, 6*time.Second), func() { w.storeDown = false })
+}
+
+func (w *world) turnAway() {
+	name := w.coordinators[w.random.IntN(coordinatorCount)].name
+	w.refused[name] = true
+	if w.chance(0.5) {
+		w.store.Redeal(w.now, w.random.IntN(coordinatorCount))
+	}
+	w.after(w.between(500*time.Millisecond, 6*time.Second), func() { delete(w.refused, name) })
+}
+
+func (w *world) loseSome() {
+	w.loseAnswers = 0.3
+	w.after(w.between(500*time.Millisecond, 5*time.Second), func() { w.loseAnswers = 0 })
+}
+
+func (w *world) crashBackend(i int) {
+	b := w.workers[i].backend
+	if !b.up {
+		return
+	}
+	b.crash()
+	w.after(w.between(0, 4*time.Second), func() {
+		if !b.up {
+			b.revive()
+		}
+	})
+}
+
+func (w *world) lateOrders(i int) {
+	b := w.workers[i].backend
+	b.lateBy = 0.15
+	w.after(w.between(time.Second, 5*time.Second), func() { b.lateBy = 0 })
+}
+
+func (w *world) failBackend(i int) {
+	b := w.workers[i].backend
+	b.failing = true
+	w.after(w.between(time.Second, 5*time.Second), func() { b.failing = false })
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.storeDown = false
+	w.loseAnswers = 0
+	w.cut = make(map[link]bool)
+	w.refused = make(map[string]bool)
+	for _, n := range w.coordinators {
+		if n.paused {
+			n.wake()
+		}
+		if !n.alive {
+			n.start()
+		}
+	}
+	for _, n := range w.workers {
+		if n.paused {
+			n.wake()
+		}
+		if !n.alive {
+			n.start()
+		}
+		n.backend.lateBy = 0
+		n.backend.failing = false
+		if !n.backend.up {
+			n.backend.revive()
+		}
+	}
+}
+
+// finish asks for each kept job until it is shown as final.
+func (w *world) finish() {
+	open := make(map[durable.JobID]*clientJob)
+	for id, j := range w.clients {
+		if j.accepted {
+			open[id] = j
+		}
+	}
+	const rounds = 40
+	for range rounds {
+		for _, id := range ordered.Keys(open) {
+			j := open[id]
+			j.ask(func() {
+				if j.final.Final() {
+					delete(open, j.submission.ID)
+				}
+			})
+		}
+		w.run(askAgain)
+		if len(open) == 0 || w.violation != "" {
+			return
+		}
+	}
+	for _, id := range ordered.Keys(open) {
+		w.broken("%s was accepted and does not end", id)
+	}
+}
+
+// The seeds that failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{20261457, "a failed run that the former owner had not kept was not counted"},
+	{20262448, "an end told again after a reconnect was acknowledged before it was kept"},
+}
+
+func TestRegressions(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
+			if w := playCase(r.seed); w.violation != "" {
+				t.Fatalf("%s (then: %s)", w.violation, r.cause)
+			}
+		})
+	}
+}
--- a/runtable/answers.go
+++ b/runtable/answers.go
@@ -223,7 +223,8 @@
 // resolve decides what became of sealed runs: a hold that was sent after the
 // seal shows neither the run nor its end, so it never ran.
 func (t *Table) resolve(now time.Time, seq uint64, running map[wire.RunRef]bool) {
-	for ref, r := range t.runs {
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
 		if r.state != runResolving || seq <= r.resolve {
 			continue
 		}
--- a/runtable/owners.go
+++ b/runtable/owners.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lichenfall/lichenfall/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -83,12 +84,12 @@
 	}
 	p.told = true
 	m := &wire.PartitionRuns{Partition: key.partition, Epoch: p.epoch, StartSeq: t.owners[p.owner].startSeq}
-	for ref, r := range t.runs {
-		if r.scope == key {
+	for _, ref := range t.refs() {
+		if t.runs[ref].scope == key {
 			m.Running = append(m.Running, ref)
 		}
 	}
-	for _, e := range t.ends {
+	for _, e := range ordered.Values(t.ends) {
 		if e.scope == key && !e.kept {
 			m.Ended = append(m.Ended, e.told)
 		}
@@ -98,10 +99,11 @@
 
 // tellAll sends what could not be told before.
 func (t *Table) tellAll() {
-	for key, p := range t.scopes {
+	for _, key := range ordered.KeysFunc(t.scopes, compareScopes) {
+		p := t.scopes[key]
 		t.tellPartition(key, p)
 	}
-	for name := range t.owners {
+	for _, name := range ordered.Keys(t.owners) {
 		t.answerClaims(name)
 	}
 }
@@ -296,7 +298,8 @@
 	if t.lapsing || !t.known {
 		return
 	}
-	for key, p := range t.scopes {
+	for _, key := range ordered.KeysFunc(t.scopes, compareScopes) {
+		p := t.scopes[key]
 		if now.Before(p.expires) || !t.holds(key) {
 			p.condemned = time.Time{}
 			continue
@@ -318,8 +321,9 @@
 // condemn stops all runs of the scope.
 func (t *Table) condemn(now time.Time, key scope) {
 	t.note("owner_lease_ended", wire.RunRef{}, key.member)
-	for _, r := range t.runs {
-		if r.scope == key {
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
+		if r != nil && r.scope == key {
 			t.stopRun(now, r)
 		}
 	}
@@ -327,7 +331,11 @@
 
 // expireUnowned ends what an earlier process left here and nobody claims.
 func (t *Table) expireUnowned(now time.Time) {
-	for _, r := range t.runs {
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
+		if r == nil {
+			continue
+		}
 		if r.scope.member == unclaimed {
 			t.stopRun(now, r)
 			continue
@@ -376,7 +384,8 @@
 	}
 	t.lapsing = false
 	t.note("lease_lapsed", wire.RunRef{}, "")
-	for ref, r := range t.runs {
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
 		t.endRun(now, r, wire.EndLapsed, "lease_lapsed")
 		delete(t.runs, ref)
 	}
@@ -392,7 +401,8 @@
 
 // giveUpStarts seals starts that have had no answer for too long.
 func (t *Table) giveUpStarts(now time.Time) {
-	for _, r := range t.runs {
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
 		if r.state == runStarting && now.Sub(r.firstSent) > t.cfg.StartLimit {
 			t.note("start_unanswered", r.order.Ref, "sealing")
 			t.sendStop(r)
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -9,10 +9,12 @@
 package runtable
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -219,7 +221,8 @@
 
 // lifeOver ends all runs: the process that ran them is gone.
 func (t *Table) lifeOver(now time.Time, reason string) {
-	for ref, r := range t.runs {
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
 		t.endRun(now, r, wire.EndLost, reason)
 		delete(t.runs, ref)
 	}
@@ -275,6 +278,18 @@
 	t.send(to, &wire.RunEnds{Ends: []wire.RunEnd{e}})
 }
 
+// refs returns the runs here, in their order.
+func (t *Table) refs() []wire.RunRef {
+	return ordered.KeysFunc(t.runs, func(a, b wire.RunRef) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Step, b.Task.Step),
+			cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run))
+	})
+}
+
+func compareScopes(a, b scope) int {
+	return cmp.Or(cmp.Compare(a.partition, b.partition), cmp.Compare(a.member, b.member))
+}
+
 // used returns what runs and waits here take.
 func (t *Table) used() (running, waiting durable.Resources) {
 	for _, r := range t.runs {
@@ -337,7 +352,8 @@
 
 // tellStatus sends a status to the owners who want one.
 func (t *Table) tellStatus(now time.Time) {
-	for name, o := range t.owners {
+	for _, name := range ordered.Keys(t.owners) {
+		o := t.owners[name]
 		if !o.dirty {
 			continue
 		}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -35,7 +35,7 @@
 // someUnknown returns whether there are workers that may have room but have
 // not said so yet.
 func (c *Core) someUnknown(now time.Time) bool {
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		if w.up && !w.status.Ready && now.Sub(w.upAt) < comingUp {
 			return true
 		}
--- a/scheduler/besteffort.go
+++ b/scheduler/besteffort.go
@@ -5,6 +5,7 @@
 
 	"github.com/lichenfall/lichenfall/durable"
 	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -68,7 +69,7 @@
 func (c *Core) claimRuns(w *worker) {
 	m := &wire.ClaimRuns{}
 	w.claimed = nil
-	for t := range w.assigned {
+	for _, t := range w.tasks() {
 		if t.job.sub.BestEffort {
 			w.claimed = append(w.claimed, t)
 			m.Runs = append(m.Runs, t.ref())
@@ -116,7 +117,7 @@
 
 // giveUp refuses best-effort jobs that have not begun in time.
 func (c *Core) giveUp(now time.Time) {
-	for _, j := range c.bestEffort {
+	for _, j := range ordered.Values(c.bestEffort) {
 		if j.begun && now.After(j.late) {
 			c.tooLate(now, j)
 			continue
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -14,6 +14,7 @@
 
 	"github.com/lichenfall/lichenfall/durable"
 	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -105,6 +106,7 @@
 	partitions map[uint32]*partition
 	bestEffort map[durable.JobID]*job // jobs that are not kept
 	workers    map[string]*worker
+	order      []*worker              // by name
 	ready      map[string]*readyQueue // by service
 	callers    map[Call]waitingCall
 	watched    map[*job]struct{} // jobs with watchers
@@ -155,7 +157,8 @@
 
 // tickCallers answers those who have waited too long for the store.
 func (c *Core) tickCallers(now time.Time) {
-	for call, w := range c.callers {
+	for _, call := range ordered.Keys(c.callers) {
+		w := c.callers[call]
 		if now.Sub(w.since) < c.cfg.CallLimit {
 			continue
 		}
@@ -274,7 +277,7 @@
 
 // tickWatchers answers those who have waited for a job's end long enough.
 func (c *Core) tickWatchers(now time.Time) {
-	for j := range c.watched {
+	for _, j := range ordered.KeysFunc(c.watched, byID) {
 		left := j.watchers[:0]
 		for _, w := range j.watchers {
 			if now.Before(w.until) {
@@ -343,7 +346,8 @@
 // Partitions returns the partitions that can take calls here.
 func (c *Core) Partitions() []wire.PartitionEpoch {
 	var out []wire.PartitionEpoch
-	for n, p := range c.partitions {
+	for _, n := range ordered.Keys(c.partitions) {
+		p := c.partitions[n]
 		if !p.suspended {
 			out = append(out, wire.PartitionEpoch{Partition: n, Epoch: p.epoch})
 		}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -190,7 +191,8 @@
 // dispatch sends ready tasks to workers with room.
 func (c *Core) dispatch(now time.Time) {
 	orders := make(map[*worker]*wire.StartRuns)
-	for service, q := range c.ready {
+	for _, service := range ordered.Keys(c.ready) {
+		q := c.ready[service]
 		if q.Len() == 0 {
 			continue
 		}
@@ -200,7 +202,11 @@
 			c.dispatchHeap(now, &q.late, workers, false, orders)
 		}
 	}
-	for w, m := range orders {
+	for _, w := range c.order {
+		m := orders[w]
+		if m == nil {
+			continue
+		}
 		w.startSeq++
 		m.Seq = w.startSeq
 		c.send(w.name, m)
@@ -220,7 +226,7 @@
 func (c *Core) candidates(now time.Time, service string) []candidate {
 	var out []candidate
 	var slow []float64
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		if !w.up || !w.status.Ready || w.status.Service != service || now.Sub(w.heardAt) > c.cfg.Suspect {
 			continue
 		}
@@ -274,7 +280,7 @@
 			passed = append(passed, t)
 			continue
 		}
-		c.order(now, epoch, t, cand, orders)
+		c.orderRun(now, epoch, t, cand, orders)
 	}
 	for _, t := range passed {
 		heap.Push(q, t)
@@ -294,7 +300,7 @@
 	return p.epoch, true
 }
 
-func (c *Core) order(now time.Time, epoch uint64, t *task, cand *candidate, orders map[*worker]*wire.StartRuns) {
+func (c *Core) orderRun(now time.Time, epoch uint64, t *task, cand *candidate, orders map[*worker]*wire.StartRuns) {
 	w := cand.w
 	cand.free = cand.free.Sub(t.step.Need)
 	if cand.shaky || w.judge.failing >= failingMax || w.judge.slowness >= slowX {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -23,10 +23,10 @@
 	id       durable.TaskID
 	step     *durable.Step
 	state    taskState
-	starts   uint32 // runs ordered under this epoch
-	run      uint32 // the newest run
-	failures uint32
-	worker   *worker // while assigned
+	starts   uint32   // runs ordered under this epoch
+	run      uint32   // the newest run
+	failures []uint32 // runs that failed
+	worker   *worker  // while assigned
 	sentAt   time.Time
 	startSeq uint64 // of the StartRuns that carried it
 	patience int    // how often it was stopped as a straggler
@@ -163,8 +163,8 @@
 		if t.state == taskDone {
 			p.Done = p.Done.With(i)
 		}
-		if t.failures > 0 {
-			p.Failures = append(p.Failures, durable.Failure{Task: t.number, Count: t.failures})
+		if len(t.failures) > 0 {
+			p.Failures = append(p.Failures, durable.Failure{Task: t.number, Runs: t.failures})
 		}
 	}
 	return p
@@ -182,7 +182,7 @@
 	}
 	for _, f := range p.Failures {
 		if int(f.Task) < len(j.tasks) {
-			j.tasks[f.Task].failures = f.Count
+			j.tasks[f.Task].failures = f.Runs
 		}
 	}
 }
--- a/scheduler/partition.go
+++ b/scheduler/partition.go
@@ -5,6 +5,7 @@
 
 	"github.com/lichenfall/lichenfall/durable"
 	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -67,15 +68,16 @@
 	}
 	c.partitions[number] = p
 	open := 0
-	for id, s := range stored {
+	for _, id := range ordered.Keys(stored) {
+		s := stored[id]
 		if j := c.restore(now, p, id, s); j != nil && !j.state.Final() {
 			open++
 		}
 	}
-	for name := range c.workers {
-		p.asked[name] = now.Add(c.cfg.Doubt)
+	for _, w := range c.order {
+		p.asked[w.name] = now.Add(c.cfg.Doubt)
 	}
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		c.heartbeat(now, w)
 	}
 	c.note(Note{What: "partition_acquired", Reason: "open_jobs", Number: int64(open)})
@@ -108,7 +110,7 @@
 		return
 	}
 	delete(c.partitions, number)
-	for _, j := range p.jobs {
+	for _, j := range ordered.Values(p.jobs) {
 		c.drop(j)
 	}
 	c.note(Note{What: "partition_released", Reason: reason, Number: int64(number)})
@@ -144,14 +146,14 @@
 	if suspended {
 		return
 	}
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		c.heartbeat(now, w)
 	}
 }
 
 // cutCommits makes commits of what waits.
 func (c *Core) cutCommits(now time.Time) {
-	for _, p := range c.partitions {
+	for _, p := range ordered.Values(c.partitions) {
 		if p.inflight != nil || p.suspended || p.urgentBy.IsZero() || now.Before(p.urgentBy) || now.Before(p.notBefore) {
 			continue
 		}
@@ -213,7 +215,8 @@
 		return
 	}
 	p.sweepAt = now.Add(sweepEvery)
-	for id, j := range p.jobs {
+	for _, id := range ordered.Keys(p.jobs) {
+		j := p.jobs[id]
 		if len(b.forgotten) >= mostAtOnce {
 			return
 		}
@@ -283,7 +286,8 @@
 	for _, a := range acks {
 		byWorker[a.worker] = append(byWorker[a.worker], a.ref)
 	}
-	for name, refs := range byWorker {
+	for _, name := range ordered.Keys(byWorker) {
+		refs := byWorker[name]
 		if w := c.workers[name]; w != nil && w.up {
 			c.send(name, &wire.EndsKept{Runs: refs})
 		}
@@ -317,8 +321,9 @@
 
 // tickPartitions gives up waiting for workers that did not answer in time.
 func (c *Core) tickPartitions(now time.Time) {
-	for _, p := range c.partitions {
-		for name, until := range p.asked {
+	for _, p := range ordered.Values(c.partitions) {
+		for _, name := range ordered.Keys(p.asked) {
+			until := p.asked[name]
 			if now.After(until) {
 				c.note(Note{What: "worker_written_off", Worker: name, Number: int64(p.number)})
 				delete(p.asked, name)
@@ -333,7 +338,7 @@
 // settle frees the jobs of an earlier owner once all that may run of them is
 // known.
 func (c *Core) settle(now time.Time, p *partition) {
-	for _, j := range p.jobs {
+	for _, j := range ordered.Values(p.jobs) {
 		if j.doubt {
 			j.doubt = false
 			c.release(now, j)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -26,6 +28,16 @@
 	judge      judge
 }
 
+// tasks returns the tasks that are with the worker, in their order.
+func (w *worker) tasks() []*task {
+	return ordered.KeysFunc(w.assigned, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.number, b.number))
+	})
+}
+
+// byID orders jobs by their IDs.
+func byID(a, b *job) int { return cmp.Compare(a.id, b.id) }
+
 // judge compares what a worker's runs took with what they should.
 type judge struct {
 	slowness float64 // smoothed: time of a run over its estimate
@@ -52,8 +64,11 @@
 	if c.workers[name] != nil {
 		return
 	}
-	c.workers[name] = &worker{name: name, assigned: make(map[*task]struct{}), told: make(map[uint32]uint64), judge: judge{slowness: 1}}
-	for _, p := range c.partitions {
+	w := &worker{name: name, assigned: make(map[*task]struct{}), told: make(map[uint32]uint64), judge: judge{slowness: 1}}
+	c.workers[name] = w
+	at, _ := slices.BinarySearchFunc(c.order, name, func(w *worker, name string) int { return cmp.Compare(w.name, name) })
+	c.order = slices.Insert(c.order, at, w)
+	for _, p := range ordered.Values(c.partitions) {
 		if _, asked := p.asked[name]; !asked && c.hasDoubt(p) {
 			p.asked[name] = now.Add(c.cfg.Doubt)
 		}
@@ -78,7 +93,7 @@
 	w.upAt = now
 	w.startSeq, w.beatSeq = 0, 0
 	w.told = make(map[uint32]uint64)
-	for t := range w.assigned {
+	for t := range w.assigned { // any order will do
 		t.startSeq = 0 // ordered over an earlier connection
 	}
 	c.note(Note{What: "worker_up", Worker: name})
@@ -130,7 +145,7 @@
 // tickWorkers sends heartbeats, gives up silent connections, and ends what
 // silent workers had once it is dead.
 func (c *Core) tickWorkers(now time.Time) {
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		if w.up && now.Sub(w.heardAt) > c.cfg.Suspect {
 			c.note(Note{What: "worker_silent", Worker: w.name, Number: now.Sub(w.heardAt).Milliseconds()})
 			c.effects.Close = append(c.effects.Close, w.name)
@@ -151,7 +166,7 @@
 // writeOff frees the tasks of a worker whose leases are over.
 func (c *Core) writeOff(now time.Time, w *worker) {
 	silent := now.Sub(w.beatAt)
-	for t := range w.assigned {
+	for _, t := range w.tasks() {
 		doubt := c.cfg.Doubt
 		if t.job.sub.BestEffort {
 			doubt = c.cfg.BestEffortDoubt
@@ -186,7 +201,7 @@
 		here[e.Ref] = true
 		c.end(now, w, &e)
 	}
-	for t := range w.assigned {
+	for _, t := range w.tasks() {
 		if t.startSeq > m.StartSeq {
 			continue // ordered after the worker wrote this
 		}
@@ -243,17 +258,55 @@
 		return
 	}
 	t := j.find(e.Ref.Task)
-	if t == nil || t.state == taskDone || (t.state == taskAssigned && (t.worker != w || t.run != e.Ref.Run)) {
-		// Not the run that counts: the worker has let its lease lapse since.
+	if t == nil {
 		c.sendKept([]ack{{w.name, e.Ref}})
 		return
 	}
+	if t.state == taskDone {
+		c.ackWithProgress(now, w, t, e) // told again: the store may not have it yet
+		return
+	}
+	if t.state == taskAssigned && (t.worker != w || t.run != e.Ref.Run) {
+		c.earlierEnd(now, w, t, e)
+		return
+	}
 	c.unqueue(t)
 	c.unassign(t)
 	t.run = max(t.run, e.Ref.Run)
 	c.apply(now, w, t, e)
 }
 
+// earlierEnd takes the end of a run before the present one. One that failed
+// counts, if an earlier owner heard of it and did not keep it; any other was
+// told too late to matter: the worker has let its lease lapse since.
+func (c *Core) earlierEnd(now time.Time, w *worker, t *task, e *wire.RunEnd) {
+	if wire.End(e.How) != wire.EndFailed || t.job.sub.BestEffort {
+		c.sendKept([]ack{{w.name, e.Ref}})
+		return
+	}
+	c.ackWithProgress(now, w, t, e)
+	if t.failed(e.Ref.Run) >= t.job.sub.Queue.MaxAttempts {
+		c.finish(now, t.job, durable.Failed, "attempts_spent")
+	}
+}
+
+// ackWithProgress acknowledges an end once the job's progress is in the store.
+func (c *Core) ackWithProgress(now time.Time, w *worker, t *task, e *wire.RunEnd) {
+	if t.job.sub.BestEffort {
+		return
+	}
+	t.job.acks = append(t.job.acks, ack{w.name, e.Ref})
+	c.change(now.Add(c.cfg.LazyCommit), t.job)
+}
+
+// failed notes a failed run and returns how many there have been.
+func (t *task) failed(run uint32) uint32 {
+	if !slices.Contains(t.failures, run) {
+		t.failures = append(t.failures, run)
+	}
+	return uint32(len(t.failures))
+}
+
 // endOfFinal acknowledges an end that no longer matters; not before the final
 // state is in the store.
 func (c *Core) endOfFinal(now time.Time, w *worker, j *job, e *wire.RunEnd) {
@@ -283,9 +336,8 @@
 		c.taskDone(now, t)
 	case wire.EndFailed:
 		w.judge.failed()
-		t.failures++
 		t.avoid = append(t.avoid, w.name)
-		if t.failures >= j.sub.Queue.MaxAttempts {
+		if t.failed(e.Ref.Run) >= j.sub.Queue.MaxAttempts {
 			c.finish(now, j, durable.Failed, "attempts_spent")
 		} else {
 			c.enqueue(now, t)
@@ -362,7 +414,7 @@
 // stopStragglers stops runs that take far longer than they should, so that
 // they can be started elsewhere.
 func (c *Core) stopStragglers(now time.Time, w *worker) {
-	for t := range w.assigned {
+	for _, t := range w.tasks() {
 		if t.step.EstimateMS <= 0 {
 			continue
 		}
