--- a/commands/config.go
+++ b/commands/config.go
@@ -24,7 +24,7 @@
 		parent:  "config",
 		name:    "example",
 		summary: "Print the default settings of a role",
-		usage:   "Prints every field with its default. claims.holders, jobs.teams, jobs.pools and backend.url have none and must be set.",
+		usage:   "Prints every field with its default. claims.holders, jobs.teams, jobs.pools, backend.url, backend.address, backend.listen and store.address have none and must be set.",
 		flags:   &configExampleCommand{},
 	})
 }
@@ -33,7 +33,7 @@
 type configCommand struct{}
 
 type configExampleCommand struct {
-	Role string `long:"role" required:"true" choice:"entry" choice:"agent" description:"whose settings to print"`
+	Role string `long:"role" required:"true" choice:"entry" choice:"agent" choice:"coordinator" choice:"worker" description:"whose settings to print"`
 }
 
 // Execute runs the command.
@@ -47,7 +47,7 @@
 }
 
 type configCheckCommand struct {
-	Role string `long:"role" required:"true" choice:"entry" choice:"agent" description:"whose settings they are"`
+	Role string `long:"role" required:"true" choice:"entry" choice:"agent" choice:"coordinator" choice:"worker" description:"whose settings they are"`
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
--- a/config/roles.go
+++ b/config/roles.go
@@ -81,6 +81,8 @@
 	return []Role{
 		{"entry", func() Settings { return DefaultEntry() }},
 		{"agent", func() Settings { return DefaultAgent() }},
+		{"coordinator", func() Settings { return DefaultCoordinator() }},
+		{"worker", func() Settings { return DefaultWorker() }},
 	}
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -46,7 +46,6 @@
 	nextCall  uint64
 	counts    map[string]map[string]uint32 // waiting jobs by coordinator and queue
 	toldAt    time.Time
-	joining   bool
 	joinAt    time.Time
 	leaving   bool
 
--- /dev/null
+++ b/runtable/runtable_test.go
@@ -0,0 +1,319 @@
+package runtable_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/runtable"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+func TestRunTable(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "runtable")
+}
+
+const (
+	owner  = "conn-1"
+	member = "c0/1"
+	job    = durable.JobID("5c0e7a21d94b36f8")
+)
+
+var identity = runtable.Identity{Instance: "i-1", Service: "s", Ready: true, Capacity: durable.Resources{CPU: 4000, Memory: 1000}}
+
+// fixture is a table with one owner of the job's partition.
+type fixture struct {
+	table *runtable.Table
+	now   time.Time
+	cfg   config.Runs
+	out   runtable.Effects
+	seq   uint64
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: time.Unix(1000, 0), cfg: config.DefaultRuns()}
+	f.table = runtable.New(f.cfg.Core(), f.now)
+	return f
+}
+
+func (f *fixture) take() runtable.Effects {
+	e := f.table.Take(f.now)
+	f.out = e
+	return e
+}
+
+func (f *fixture) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.table.Tick(f.now)
+}
+
+// hold makes a hold that is answered with the lists.
+func (f *fixture) hold(running []runtable.ListedRun, ended ...runtable.ListedEnd) runtable.HoldCall {
+	call, ok := f.table.NextHold(f.now)
+	Expect(ok).To(BeTrue())
+	f.table.HoldAnswered(f.now, call, runtable.HoldAnswer{Result: runtable.HoldOK, Clock: f.clock(), Running: running, Ended: ended})
+	return call
+}
+
+func (f *fixture) clock() time.Duration { return f.now.Sub(time.Unix(0, 0)) }
+
+// ready brings the table to the point where orders are taken.
+func (f *fixture) ready() *fixture {
+	f.table.Identify(f.now, identity)
+	f.hold(nil)
+	f.hold(nil)
+	f.table.OwnerUp(f.now, owner, member)
+	f.heartbeat(7)
+	f.take()
+	return f
+}
+
+// heartbeat renews the owner's leases from now.
+func (f *fixture) heartbeat(epoch uint64) {
+	f.seq++
+	f.table.OwnerUp(f.now, "probe", "probe")
+	var stamp int64
+	for _, s := range f.take().Sends {
+		if m, ok := s.Message.(*wire.WorkerStatus); ok && s.Owner == "probe" {
+			stamp = m.Stamp
+		}
+	}
+	f.table.OwnerDown(f.now, "probe")
+	f.heartbeatOf(epoch, stamp)
+}
+
+func (f *fixture) heartbeatOf(epoch uint64, stamp int64) {
+	f.table.Heartbeat(f.now, owner, &wire.OwnerHeartbeat{
+		Seq: f.seq, Echo: stamp,
+		Partitions: []wire.PartitionEpoch{{Partition: job.Partition(f.cfg.Partitions), Epoch: epoch}},
+	})
+}
+
+func ref(index, run uint32) wire.RunRef {
+	return wire.RunRef{Task: durable.TaskID{Job: job, Index: index}, Run: run}
+}
+
+func (f *fixture) order(epoch uint64, refs ...wire.RunRef) {
+	m := &wire.StartRuns{Seq: f.seq}
+	for _, r := range refs {
+		if r.BestEffort() {
+			epoch = 0
+		}
+		m.Runs = append(m.Runs, wire.RunOrder{Ref: r, Epoch: epoch, BestEffort: r.BestEffort(), Need: durable.Resources{CPU: 1500}})
+	}
+	f.table.Start(f.now, owner, m)
+}
+
+// ends returns the ends that were told.
+func ends(e runtable.Effects) []wire.RunEnd {
+	var out []wire.RunEnd
+	for _, s := range e.Sends {
+		if m, ok := s.Message.(*wire.RunEnds); ok {
+			out = append(out, m.Ends...)
+		}
+	}
+	return out
+}
+
+func how(e wire.RunEnd) wire.End { return wire.End(e.How) }
+
+var _ = Describe("orders", func() {
+	It("are started as far as they fit, the others when there is room", func() {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1), ref(1, 1), ref(2, 1))
+		e := f.take()
+		Expect(e.Starts).To(HaveLen(2))
+		for _, c := range e.Starts {
+			f.table.StartAnswered(f.now, c, runtable.StartAccepted)
+		}
+		f.hold(nil, runtable.ListedEnd{Number: 1, Ref: ref(0, 1), Valid: true, How: wire.EndDone})
+		Expect(f.take().Starts).To(HaveLen(1))
+	})
+
+	It("are refused under an epoch that has been superseded", func() {
+		f := newFixture().ready()
+		f.heartbeat(8)
+		f.take()
+		f.order(7, ref(0, 1))
+		e := f.take()
+		Expect(e.Starts).To(BeEmpty())
+		Expect(ends(e)).To(HaveLen(1))
+		Expect(how(ends(e)[0])).To(Equal(wire.EndNotRun))
+	})
+
+	It("are refused while the backend server drains", func() {
+		f := newFixture().ready()
+		draining := identity
+		draining.Ready = false
+		f.table.Identify(f.now, draining)
+		f.order(7, ref(0, 1))
+		e := f.take()
+		Expect(e.Starts).To(BeEmpty())
+		Expect(ends(e)[0].Reason).To(Equal("not_ready"))
+	})
+
+	It("are refused when the owner's lease is over, also if a heartbeat was long on its way", func() {
+		f := newFixture().ready()
+		f.pass(f.cfg.OwnerLease.D() + time.Millisecond)
+		f.heartbeatOf(7, 1) // sent long ago: it echoes an early stamp
+		f.take()
+		f.order(7, ref(0, 1))
+		e := f.take()
+		Expect(e.Starts).To(BeEmpty())
+		Expect(ends(e)[0].Reason).To(Equal("no_lease"))
+	})
+
+	It("without an answer are repeated under their number, then sealed; only then are they not run", func() {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1))
+		first := f.take().Starts[0]
+		f.table.StartAnswered(f.now, first, runtable.StartUnknown)
+		again := f.take().Starts
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Ref).To(Equal(first.Ref))
+		f.now = f.now.Add(f.cfg.StartLimit.D() + time.Millisecond)
+		f.heartbeat(7)
+		f.table.Tick(f.now)
+		e := f.take()
+		Expect(e.Stops).To(HaveLen(1))
+		Expect(ends(e)).To(BeEmpty())
+		f.table.StopAnswered(f.now, e.Stops[0], true)
+		Expect(ends(f.take())).To(BeEmpty(), "a list from before the seal may not show it yet")
+		f.hold(nil)
+		Expect(how(ends(f.take())[0])).To(Equal(wire.EndNotRun))
+	})
+})
+
+var _ = Describe("ends", func() {
+	run := func(f *fixture, refs ...wire.RunRef) {
+		f.order(7, refs...)
+		for _, c := range f.take().Starts {
+			f.table.StartAnswered(f.now, c, runtable.StartAccepted)
+		}
+	}
+
+	It("of kept jobs are forgotten only after they are kept, in their order", func() {
+		f := newFixture().ready()
+		run(f, ref(0, 1), ref(1, 1))
+		f.hold(nil,
+			runtable.ListedEnd{Number: 4, Ref: ref(0, 1), Valid: true, How: wire.EndDone},
+			runtable.ListedEnd{Number: 5, Ref: ref(1, 1), Valid: true, How: wire.EndDone})
+		Expect(ends(f.take())).To(HaveLen(2))
+		f.table.Kept(f.now, owner, &wire.EndsKept{Runs: []wire.RunRef{ref(1, 1)}})
+		Expect(f.hold(nil).LastSeen).To(Equal(uint64(3)))
+		f.table.Kept(f.now, owner, &wire.EndsKept{Runs: []wire.RunRef{ref(0, 1)}})
+		Expect(f.hold(nil).LastSeen).To(Equal(uint64(5)))
+	})
+
+	It("of best-effort jobs are forgotten at once, and remembered for a claim", func() {
+		f := newFixture().ready()
+		r := ref(0, wire.BestEffortRun+1)
+		run(f, r)
+		f.hold(nil, runtable.ListedEnd{Number: 1, Ref: r, Valid: true, How: wire.EndDone})
+		Expect(ends(f.take())).To(HaveLen(1))
+		Expect(f.hold(nil).LastSeen).To(Equal(uint64(1)))
+		f.table.Claim(f.now, owner, &wire.ClaimRuns{Runs: []wire.RunRef{r, ref(1, wire.BestEffortRun+1)}})
+		var answer *wire.PartitionRuns
+		for _, s := range f.take().Sends {
+			if m, ok := s.Message.(*wire.PartitionRuns); ok {
+				answer = m
+			}
+		}
+		Expect(answer.Ended).To(HaveLen(1))
+		Expect(answer.Running).To(BeEmpty())
+	})
+
+	It("are all told when the backend server's life is over", func() {
+		f := newFixture().ready()
+		run(f, ref(0, 1))
+		next := identity
+		next.Instance = "i-2"
+		f.table.Identify(f.now, next)
+		Expect(how(ends(f.take())[0])).To(Equal(wire.EndLost))
+	})
+
+	It("come again under a new owner until they are kept", func() {
+		f := newFixture().ready()
+		run(f, ref(0, 1))
+		f.hold(nil, runtable.ListedEnd{Number: 1, Ref: ref(0, 1), Valid: true, How: wire.EndDone})
+		f.take()
+		f.heartbeat(9)
+		var told *wire.PartitionRuns
+		for _, s := range f.take().Sends {
+			if m, ok := s.Message.(*wire.PartitionRuns); ok {
+				told = m
+			}
+		}
+		Expect(told.Epoch).To(Equal(uint64(9)))
+		Expect(told.Ended).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("an owner whose lease is over", func() {
+	It("has its runs stopped, and the lease let lapse if that does not help", func() {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1))
+		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
+		f.hold(nil)
+		f.pass(f.cfg.OwnerLease.D() + time.Millisecond)
+		Expect(f.take().Stops).To(HaveLen(1))
+		f.hold(nil)
+		f.pass(f.cfg.StopGrace.D())
+		_, ok := f.table.NextHold(f.now)
+		Expect(ok).To(BeFalse(), "the lease must not be renewed")
+		f.order(7, ref(1, 1))
+		Expect(f.take().Starts).To(BeEmpty())
+		f.pass(f.cfg.HoldLease.D() + 100*time.Millisecond)
+		Expect(how(ends(f.take())[0])).To(Equal(wire.EndLapsed))
+		_, ok = f.table.NextHold(f.now)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("keeps nothing alive of best-effort jobs past their callers' resend", func() {
+		f := newFixture().ready()
+		r := ref(0, wire.BestEffortRun+1)
+		f.order(0, r)
+		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
+		f.table.OwnerDown(f.now, owner)
+		f.pass(f.cfg.BestEffortLease.D() + time.Millisecond)
+		Expect(f.take().Stops).To(HaveLen(1))
+		const resend = 1300 * time.Millisecond
+		Expect(f.cfg.BestEffortLease.D() + f.cfg.StopGrace.D()).To(BeNumerically("<", resend))
+	})
+})
+
+var _ = Describe("a process after another", func() {
+	It("takes a fencing token above that of the earlier one", func() {
+		f := newFixture()
+		f.table.Identify(f.now, identity)
+		first := f.hold(nil)
+		Expect(first.Token).To(BeZero())
+		second := f.hold(nil)
+		Expect(second.Token).To(Equal(uint64(f.clock().Milliseconds())))
+
+		f.now = f.now.Add(time.Second)
+		successor := newFixture()
+		successor.now = f.now
+		successor.table.Identify(f.now, identity)
+		successor.hold(nil)
+		Expect(successor.hold(nil).Token).To(BeNumerically(">", second.Token))
+	})
+
+	It("adopts what runs, and stops best-effort runs that nobody claims", func() {
+		f := newFixture()
+		f.table.Identify(f.now, identity)
+		f.hold(nil)
+		r := ref(0, wire.BestEffortRun+1)
+		f.hold([]runtable.ListedRun{{Ref: r}})
+		f.pass(f.cfg.FirstLease.D() + time.Millisecond)
+		e := f.take()
+		Expect(e.Stops).To(HaveLen(1))
+		_, ok := f.table.NextHold(f.now)
+		Expect(ok).To(BeTrue(), "other runs keep their lease")
+	})
+})
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -59,7 +59,7 @@
 func (c *Core) workBefore(service string, want time.Time) float64 {
 	work := 0.0
 	for _, t := range c.readyOf(service).onTime.tasks {
-		if t.want.Before(want) {
+		if !t.want.After(want) {
 			work += float64(t.step.Need.CPU) * float64(t.step.Estimate())
 		}
 	}
--- a/scheduler/partition.go
+++ b/scheduler/partition.go
@@ -250,7 +250,9 @@
 	for _, j := range b.submitted {
 		j.kept = true
 		for _, call := range j.calls {
-			c.reply(Reply{Call: call, ID: j.id, State: durable.Queued})
+			if _, waits := c.callers[call]; waits {
+				c.reply(Reply{Call: call, ID: j.id, State: durable.Queued})
+			}
 		}
 		j.calls = nil
 		c.note(Note{What: "job_kept", Job: j.id, Number: now.Sub(j.received).Milliseconds(), Usual: true})
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,560 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/scheduler"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+func TestScheduler(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "scheduler")
+}
+
+const (
+	id    = durable.JobID("5c0e7a21d94b36f8")
+	epoch = 5
+)
+
+// fixture is a core that owns the partition of one job, with workers.
+type fixture struct {
+	core   *scheduler.Core
+	cfg    config.Scheduler
+	now    time.Time
+	stamp  int64
+	starts map[string]uint64 // newest StartRuns of each worker
+}
+
+func newFixture() *fixture {
+	f := &fixture{cfg: config.DefaultScheduler(), now: time.Unix(1000, 0), starts: make(map[string]uint64)}
+	f.core = scheduler.New(f.cfg.Core("nadi"), 1)
+	return f
+}
+
+func (f *fixture) partition() uint32 { return id.Partition(f.cfg.Partitions) }
+
+// owning gives the core its partition with what the store has of it.
+func (f *fixture) owning(stored map[durable.JobID]*durable.Stored) *fixture {
+	f.core.Acquire(f.now, f.partition(), epoch, stored)
+	return f
+}
+
+func (f *fixture) worker(name string) {
+	f.core.WorkerUp(f.now, name, "nadi")
+	f.status(name, 4000)
+	f.core.Runs(f.now, name, &wire.PartitionRuns{Partition: f.partition(), Epoch: epoch})
+}
+
+func (f *fixture) status(name string, free int64) {
+	f.stamp++
+	f.core.Status(f.now, name, &wire.WorkerStatus{
+		Stamp: f.stamp, Instance: "i-" + name, Service: "s", Ready: true, StartSeq: f.starts[name],
+		Capacity: durable.Resources{CPU: 4000, Memory: 1000}, Free: durable.Resources{CPU: free, Memory: 1000},
+	})
+}
+
+func (f *fixture) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.core.Tick(f.now)
+}
+
+// wait lets time pass in which the workers go on saying that they are free.
+func (f *fixture) wait(d time.Duration, workers ...string) {
+	const step = 50 * time.Millisecond
+	for end := f.now.Add(d); f.now.Before(end); {
+		for _, name := range workers {
+			f.status(name, 4000)
+		}
+		f.pass(step)
+	}
+}
+
+func job(steps ...durable.Step) *durable.Submission {
+	return &durable.Submission{
+		ID: id, Spec: "do it", Steps: steps,
+		Queue: durable.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 1.6, TargetMS: 60},
+	}
+}
+
+func tasks(n uint32) durable.Step {
+	return durable.Step{Count: n, Need: durable.Resources{CPU: 1000, Memory: 10}, EstimateMS: 100}
+}
+
+// sent is a run that was ordered, and where.
+type sent struct {
+	worker string
+	order  wire.RunOrder
+}
+
+func (f *fixture) orders(e scheduler.Effects) []sent {
+	var out []sent
+	for _, s := range e.Sends {
+		if m, ok := s.Message.(*wire.StartRuns); ok {
+			f.starts[s.Worker] = m.Seq
+			for _, o := range m.Runs {
+				out = append(out, sent{s.Worker, o})
+			}
+		}
+	}
+	return out
+}
+
+func kept(e scheduler.Effects) []wire.RunRef {
+	var out []wire.RunRef
+	for _, s := range e.Sends {
+		if m, ok := s.Message.(*wire.EndsKept); ok {
+			out = append(out, m.Runs...)
+		}
+	}
+	return out
+}
+
+func (f *fixture) end(s sent, how wire.End) {
+	f.core.Ends(f.now, s.worker, &wire.RunEnds{Ends: []wire.RunEnd{{Ref: s.order.Ref, How: uint8(how), RunMS: 100}}})
+}
+
+// commit lets time pass until there is a commit, and says how it went.
+func (f *fixture) commit(result scheduler.CommitResult) scheduler.Effects {
+	var commits []scheduler.Commit
+	for range 100 {
+		commits = append(commits, f.core.Take(f.now).Commits...)
+		if len(commits) > 0 {
+			break
+		}
+		f.pass(5 * time.Millisecond)
+	}
+	Expect(commits).To(HaveLen(1))
+	f.core.Committed(f.now, commits[0].Partition, commits[0].Epoch, result)
+	return f.core.Take(f.now)
+}
+
+// running submits the job and returns its runs.
+func (f *fixture) running(s *durable.Submission) []sent {
+	f.core.Submit(f.now, 1, s, 0)
+	e := f.commit(scheduler.CommitOK)
+	Expect(e.Replies).To(ConsistOf(HaveField("Failure", failure.None)))
+	return f.orders(e)
+}
+
+func (f *fixture) state() durable.State {
+	f.core.State(f.now, 99, id, 0)
+	for _, r := range f.core.Take(f.now).Replies {
+		if r.Call == 99 {
+			Expect(r.Failure).To(Equal(failure.None))
+			return r.State
+		}
+	}
+	Fail("no reply")
+	return 0
+}
+
+var _ = Describe("a kept job", func() {
+	It("is acknowledged and started only when the store has it", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		f.core.Submit(f.now, 1, job(tasks(2)), 0)
+		e := f.core.Take(f.now)
+		Expect(e.Replies).To(BeEmpty())
+		Expect(f.orders(e)).To(BeEmpty())
+		Expect(e.Commits).To(HaveLen(1))
+		f.core.Committed(f.now, f.partition(), epoch, scheduler.CommitOK)
+		e = f.core.Take(f.now)
+		Expect(e.Replies).To(ConsistOf(HaveField("Call", scheduler.Call(1))))
+		Expect(f.orders(e)).To(HaveLen(2))
+	})
+
+	It("that the store refused never runs, and the caller is told when to come back", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		f.core.Submit(f.now, 1, job(tasks(1)), 0)
+		e := f.commit(scheduler.CommitRefused)
+		Expect(e.Replies).To(ConsistOf(And(
+			HaveField("Failure", failure.StoreUnavailable), HaveField("RetryAfter", f.cfg.RetryAfter.D()))))
+		f.pass(time.Second)
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+	})
+
+	It("whose commit has no answer is called neither kept nor refused", func() {
+		f := newFixture().owning(nil)
+		f.core.Submit(f.now, 1, job(tasks(1)), 0)
+		Expect(f.core.Take(f.now).Commits).To(HaveLen(1))
+		f.pass(f.cfg.CallLimit.D() + time.Millisecond)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.CommitUnknown)))
+		f.core.Submit(f.now, 2, job(tasks(1)), 0)
+		f.core.Committed(f.now, f.partition(), epoch, scheduler.CommitOK)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(And(
+			HaveField("Call", scheduler.Call(2)), HaveField("Failure", failure.None))), "the copy sent again joins the first")
+	})
+
+	It("sent again with other content is a mismatch", func() {
+		f := newFixture().owning(nil)
+		f.running(job(tasks(1)))
+		f.core.Submit(f.now, 2, job(tasks(2)), 0)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.SubmissionMismatch)))
+	})
+
+	It("is shown as completed, and its ends are acknowledged, only when the store has it", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		runs := f.running(job(tasks(1)))
+		f.end(runs[0], wire.EndDone)
+		Expect(f.state()).To(Equal(durable.Running))
+		Expect(kept(f.core.Take(f.now))).To(BeEmpty())
+		Expect(kept(f.commit(scheduler.CommitOK))).To(ConsistOf(runs[0].order.Ref))
+		Expect(f.state()).To(Equal(durable.Completed))
+	})
+
+	It("has no end acknowledged that is told again before it is kept", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		runs := f.running(job(tasks(2)))
+		f.end(runs[0], wire.EndDone)
+		f.end(runs[0], wire.EndDone)
+		Expect(kept(f.core.Take(f.now))).To(BeEmpty())
+		Expect(kept(f.commit(scheduler.CommitOK))).To(ContainElement(runs[0].order.Ref))
+	})
+
+	It("starts a step only after those it depends on", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		second := tasks(1)
+		second.DependsOn = []uint32{0}
+		runs := f.running(job(tasks(2), second))
+		Expect(runs).To(HaveLen(2))
+		f.end(runs[0], wire.EndDone)
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.end(runs[1], wire.EndDone)
+		next := f.orders(f.core.Take(f.now))
+		Expect(next).To(HaveLen(1))
+		Expect(next[0].order.Ref.Task.Step).To(Equal(uint32(1)))
+	})
+
+	It("fails after its attempts, of which only failed runs count, told once or twice", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		run := f.running(job(tasks(1)))[0]
+		for _, how := range []wire.End{wire.EndStopped, wire.EndLapsed, wire.EndLost, wire.EndNotRun} {
+			f.end(run, how)
+			f.status("w1", 4000)
+			run = f.orders(f.core.Take(f.now))[0]
+		}
+		f.end(run, wire.EndFailed)
+		again := f.orders(f.core.Take(f.now))[0]
+		f.end(run, wire.EndFailed)
+		Expect(f.state()).To(Equal(durable.Running))
+		f.end(again, wire.EndFailed)
+		f.commit(scheduler.CommitOK)
+		Expect(f.state()).To(Equal(durable.Failed))
+	})
+
+	It("is not started again after a cancel, which is acknowledged when the store has it", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		run := f.running(job(tasks(1)))[0]
+		f.core.Cancel(f.now, 2, id)
+		e := f.core.Take(f.now)
+		Expect(e.Replies).To(BeEmpty())
+		Expect(e.Sends).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&wire.StopRuns{}))))
+		f.end(run, wire.EndStopped)
+		e = f.commit(scheduler.CommitOK)
+		Expect(e.Replies).To(ConsistOf(HaveField("State", durable.Cancelled)))
+		Expect(f.orders(e)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a new owner", func() {
+	stored := func() map[durable.JobID]*durable.Stored {
+		s := job(tasks(3))
+		s.Epoch = 2
+		return map[durable.JobID]*durable.Stored{id: {
+			Submission: s,
+			Progress:   &durable.Progress{Done: durable.Bitmap{}.With(0), Failures: []durable.Failure{{Task: 1, Runs: []uint32{1}}}},
+		}}
+	}
+
+	It("starts nothing of an old job before all workers have told what they have", func() {
+		f := newFixture()
+		f.core.WorkerKnown(f.now, "w2")
+		f.owning(stored())
+		f.worker("w1")
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.worker("w2")
+		runs := f.orders(f.core.Take(f.now))
+		Expect(runs).To(HaveLen(2))
+		for _, r := range runs {
+			Expect(r.order.Ref.Run).To(BeNumerically(">", 16), "above the numbers of earlier owners")
+		}
+	})
+
+	It("goes on without a worker that stays silent, once all that it had is dead", func() {
+		f := newFixture()
+		f.core.WorkerKnown(f.now, "w2")
+		f.owning(stored())
+		f.worker("w1")
+		f.wait(f.cfg.OwnerLease.D()+f.cfg.HoldLease.D(), "w1")
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.wait(time.Second, "w1")
+		Expect(f.orders(f.core.Take(f.now))).To(HaveLen(2))
+	})
+
+	It("takes over what runs and what has ended", func() {
+		f := newFixture().owning(nil)
+		f.core.WorkerKnown(f.now, "w1")
+		f.core.Release(f.now, f.partition(), "test")
+		f.owning(stored())
+		f.core.WorkerUp(f.now, "w1", "nadi")
+		f.status("w1", 4000)
+		ref := func(index uint32) wire.RunRef {
+			return wire.RunRef{Task: durable.TaskID{Job: id, Index: index}, Run: 3}
+		}
+		f.core.Runs(f.now, "w1", &wire.PartitionRuns{
+			Partition: f.partition(), Epoch: epoch,
+			Running: []wire.RunRef{ref(1)},
+			Ended:   []wire.RunEnd{{Ref: ref(2), How: uint8(wire.EndDone)}},
+		})
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.core.Ends(f.now, "w1", &wire.RunEnds{Ends: []wire.RunEnd{{Ref: ref(1), How: uint8(wire.EndDone)}}})
+		f.commit(scheduler.CommitOK)
+		Expect(f.state()).To(Equal(durable.Completed))
+	})
+
+	It("counts a failed run that the former owner had not kept", func() {
+		f := newFixture().owning(stored())
+		f.core.WorkerUp(f.now, "w1", "nadi")
+		f.core.WorkerUp(f.now, "w2", "nadi")
+		f.status("w1", 4000)
+		f.status("w2", 4000)
+		ref := func(run uint32) wire.RunRef {
+			return wire.RunRef{Task: durable.TaskID{Job: id, Index: 1}, Run: run}
+		}
+		f.core.Runs(f.now, "w1", &wire.PartitionRuns{Partition: f.partition(), Epoch: epoch, Running: []wire.RunRef{ref(18)}})
+		f.core.Runs(f.now, "w2", &wire.PartitionRuns{Partition: f.partition(), Epoch: epoch,
+			Ended: []wire.RunEnd{{Ref: ref(17), How: uint8(wire.EndFailed)}}})
+		f.commit(scheduler.CommitOK)
+		Expect(f.state()).To(Equal(durable.Failed), "two of two attempts")
+	})
+
+	It("acts on nothing while its lease may be over", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		f.core.Suspend(f.now, f.partition(), true)
+		f.core.Submit(f.now, 1, job(tasks(1)), 0)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.NoOwner)))
+	})
+
+	It("gives all up when the store has seen a newer one", func() {
+		f := newFixture().owning(nil)
+		f.core.Submit(f.now, 1, job(tasks(1)), 0)
+		e := f.commit(scheduler.CommitFenced)
+		Expect(e.Fenced).To(BeTrue())
+		Expect(e.Replies).To(ConsistOf(HaveField("Failure", failure.CommitUnknown)))
+		Expect(f.core.Owns(id)).To(BeFalse())
+	})
+})
+
+var _ = Describe("a worker's list", func() {
+	It("does not speak of orders that were sent after it was written", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		runs := f.running(job(tasks(1)))
+		Expect(runs).To(HaveLen(1))
+		f.core.Runs(f.now, "w1", &wire.PartitionRuns{Partition: f.partition(), Epoch: epoch, StartSeq: f.starts["w1"] - 1})
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.core.Runs(f.now, "w1", &wire.PartitionRuns{Partition: f.partition(), Epoch: epoch, StartSeq: f.starts["w1"]})
+		Expect(f.orders(f.core.Take(f.now))).To(HaveLen(1), "now the run is absent for certain")
+	})
+})
+
+var _ = Describe("a silent worker", func() {
+	It("is dialled anew, and its runs are started elsewhere only when they are dead", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		run := f.running(job(tasks(1)))[0]
+		f.worker("w2")
+		f.core.Take(f.now)
+		silentSince := f.now
+		for f.now.Sub(silentSince) < 5*time.Second {
+			f.pass(20 * time.Millisecond)
+			f.status("w2", 4000)
+			e := f.core.Take(f.now)
+			if runs := f.orders(e); len(runs) > 0 {
+				Expect(runs[0].worker).To(Equal("w2"))
+				Expect(runs[0].order.Ref.Run).To(BeNumerically(">", run.order.Ref.Run))
+				dead := f.cfg.OwnerLease.D() + f.cfg.StopGrace.D() + f.cfg.HoldLease.D()
+				Expect(f.now.Sub(silentSince)).To(BeNumerically(">", dead))
+				return
+			}
+		}
+		Fail("the task was never started elsewhere")
+	})
+})
+
+var _ = Describe("a best-effort job", func() {
+	bestEffort := func(n uint32) *durable.Submission {
+		s := job(tasks(n))
+		s.BestEffort = true
+		return s
+	}
+
+	It("needs no store, and is answered with its end", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(1), 0)
+		e := f.core.Take(f.now)
+		Expect(e.Commits).To(BeEmpty())
+		runs := f.orders(e)
+		Expect(runs).To(HaveLen(1))
+		Expect(runs[0].order.Ref.BestEffort()).To(BeTrue())
+		f.end(runs[0], wire.EndDone)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(And(
+			HaveField("Failure", failure.None), HaveField("State", durable.Completed))))
+	})
+
+	It("sent again while it runs is the same job", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(1), 0)
+		runs := f.orders(f.core.Take(f.now))
+		f.core.Submit(f.now, 2, bestEffort(1), 0)
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.end(runs[0], wire.EndDone)
+		Expect(f.core.Take(f.now).Replies).To(HaveLen(2))
+	})
+
+	It("that nobody waits for is stopped", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(1), 0)
+		f.core.Take(f.now)
+		f.core.Abandon(f.now, 1, id)
+		Expect(f.core.Take(f.now).Sends).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&wire.StopRuns{}))))
+	})
+
+	It("is refused at once, with when to come back, when it cannot begin in time", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(1), 0)
+		f.core.Take(f.now)
+		f.status("w1", -2000)
+		var refused []scheduler.Reply
+		for i := range 40 {
+			s := bestEffort(8)
+			s.ID = durable.JobID(fmt.Sprintf("%016x", i))
+			f.core.Submit(f.now, scheduler.Call(10+i), s, 0)
+			refused = append(refused, f.core.Take(f.now).Replies...)
+		}
+		Expect(refused).NotTo(BeEmpty())
+		Expect(refused[0].Failure).To(Equal(failure.Overloaded))
+		Expect(refused[0].RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("is never refused while there is room", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(4), 0)
+		Expect(f.core.Take(f.now).Replies).To(BeEmpty())
+	})
+
+	It("that cannot begin is given up while its caller can still try elsewhere", func() {
+		f := newFixture()
+		f.core.Submit(f.now, 1, bestEffort(1), time.Second)
+		f.pass(300 * time.Millisecond)
+		Expect(f.core.Take(f.now).Replies).To(BeEmpty())
+		f.pass(200 * time.Millisecond)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.Overloaded)))
+	})
+
+	It("that has begun and is of no use any more is ended", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(8), 0)
+		Expect(f.orders(f.core.Take(f.now))).NotTo(BeEmpty())
+		f.pass(5 * time.Second)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.DeadlineWhileRunning)))
+	})
+
+	It("asks a worker that is back what became of its runs", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(2), 0)
+		runs := f.orders(f.core.Take(f.now))
+		Expect(runs).To(HaveLen(2))
+		f.core.WorkerDown(f.now, "w1")
+		f.core.WorkerUp(f.now, "w1", "nadi")
+		f.starts["w1"] = 0
+		f.status("w1", 4000)
+		Expect(f.core.Take(f.now).Sends).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&wire.ClaimRuns{}))))
+		f.core.Runs(f.now, "w1", &wire.PartitionRuns{Partition: wire.BestEffortRuns, Running: []wire.RunRef{runs[0].order.Ref}})
+		again := f.orders(f.core.Take(f.now))
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].order.Ref.Task).To(Equal(runs[1].order.Ref.Task))
+	})
+})
+
+var _ = Describe("placement", func() {
+	It("keeps away from a worker that fails what others do", func() {
+		f := newFixture()
+		f.worker("bad")
+		f.worker("good")
+		served := make(map[string]int)
+		for i := range 60 {
+			s := job(tasks(1))
+			s.BestEffort = true
+			s.ID = durable.JobID(fmt.Sprintf("%016x", i))
+			s.Queue.MaxAttempts = 9
+			f.core.Submit(f.now, scheduler.Call(i+1), s, 0)
+			for range 9 {
+				runs := f.orders(f.core.Take(f.now))
+				if len(runs) == 0 {
+					break
+				}
+				served[runs[0].worker]++
+				how := wire.EndDone
+				if runs[0].worker == "bad" {
+					how = wire.EndFailed
+				}
+				f.end(runs[0], how)
+				f.now = f.now.Add(10 * time.Millisecond)
+				f.status("bad", 4000)
+				f.status("good", 4000)
+			}
+		}
+		Expect(served["bad"]).To(BeNumerically("<", served["good"]/4))
+	})
+
+	It("stops a run that takes far longer than it should, and starts it elsewhere", func() {
+		f := newFixture()
+		f.worker("w1")
+		s := job(tasks(1))
+		s.BestEffort = true
+		s.Queue.TargetMS = 5000
+		f.core.Submit(f.now, 1, s, 0)
+		run := f.orders(f.core.Take(f.now))[0]
+		f.worker("w2")
+		f.pass(500 * time.Millisecond)
+		Expect(f.core.Take(f.now).Sends).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&wire.StopRuns{}))))
+		f.status("w1", 4000)
+		f.status("w2", 4000)
+		f.end(run, wire.EndStopped)
+		Expect(f.orders(f.core.Take(f.now))[0].worker).To(Equal("w2"))
+	})
+
+	It("keeps to what a step requires", func() {
+		f := newFixture()
+		f.worker("w1")
+		s := job(tasks(1))
+		s.BestEffort = true
+		s.Steps[0].Requires = "gpu"
+		f.core.Submit(f.now, 1, s, 0)
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+	})
+})
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lichenfall/lichenfall/durable"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -32,9 +33,23 @@
 		&wire.Fetched{Seq: 1, Found: true, Answer: []byte(`{}`)},
 		&wire.Ping{},
 		&wire.LeaveAck{},
+		&wire.OwnerHeartbeat{Seq: 3, Echo: 9, Partitions: []wire.PartitionEpoch{{Partition: 1, Epoch: 7}}},
+		&wire.WorkerStatus{Stamp: 1, Instance: "i", Service: "s", Ready: true, Free: durable.Resources{CPU: -5}, Labels: []string{"a"}, Fenced: []uint32{2}},
+		&wire.StartRuns{Seq: 4, Runs: []wire.RunOrder{{Ref: someRun, Epoch: 7, Spec: "x", DueMS: -3, BestEffort: true}}},
+		&wire.StopRuns{Runs: []wire.RunRef{someRun}},
+		&wire.RunEnds{Ends: []wire.RunEnd{{Ref: someRun, How: uint8(wire.EndDone), Checkpoint: "c", RunMS: 60}}},
+		&wire.EndsKept{Runs: []wire.RunRef{someRun}},
+		&wire.PartitionRuns{Partition: 1, Epoch: 7, StartSeq: 4, Running: []wire.RunRef{someRun}, Ended: []wire.RunEnd{{Ref: someRun}}},
+		&wire.JobCall{Seq: 1, Kind: uint8(wire.CallSubmit), ID: someRun.Task.Job, Submission: &durable.Submission{ID: someRun.Task.Job, Steps: []durable.Step{{Count: 2}}}},
+		&wire.JobReply{Seq: 1, Failure: 3, State: 2, RetryMS: 500},
+		&wire.QueueCounts{Partitions: []wire.PartitionEpoch{{Partition: 1}}, Counts: []wire.QueueCount{{Queue: "q", Jobs: 4}}},
+		&wire.HandOver{},
+		&wire.ClaimRuns{Runs: []wire.RunRef{someRun}},
 	}
 }
 
+var someRun = wire.RunRef{Task: durable.TaskID{Job: "5c0e7a21d94b36f8", Step: 1, Index: 17}, Run: 2}
+
 func read(b []byte) (wire.Message, error) {
 	m, _, err := wire.Read(bufio.NewReader(bytes.NewReader(b)), maxFrame)
 	return m, err
