worker: ask a silent backend server again after 60 ms

Ruled out: late copies doing harm (run numbers make them one; no rule broken). Change: a call is given up after 60 ms, a hold waits 100 ms at most.

--- a/config/jobstore.go
+++ b/config/jobstore.go
@@ -173,9 +173,9 @@
 		BestEffortLease: Duration(800 * time.Millisecond),
 		StopGrace:       Duration(200 * time.Millisecond),
 		HoldLease:       Duration(time.Second),
-		HoldRenew:       Duration(300 * time.Millisecond),
+		HoldRenew:       Duration(100 * time.Millisecond),
 		StartLimit:      Duration(700 * time.Millisecond),
-		CallLimit:       Duration(200 * time.Millisecond),
+		CallLimit:       Duration(60 * time.Millisecond),
 		MaxWaiting:      6,
 		FirstLease:      Duration(250 * time.Millisecond),
 	}
--- a/worker/control.go
+++ b/worker/control.go
@@ -156,7 +156,7 @@
 }
 
 // callAgain is the pause after a call without an answer.
-const callAgain = 20 * time.Millisecond
+const callAgain = 5 * time.Millisecond
 
 func (w *Worker) start(c runtable.StartCall) {
 	ctx, cancel := context.WithTimeout(w.halt, w.cfg.Runs.CallLimit.D())
@@ -188,7 +188,7 @@
 // Pauses between holds.
 const (
 	holdGap   = 5 * time.Millisecond   // after one that waited
-	holdRetry = 50 * time.Millisecond  // after one without an answer
+	holdRetry = 10 * time.Millisecond  // after one without an answer
 	holdIdle  = 100 * time.Millisecond // while none may be made
 )
 
