--- a/commands/dev.go
+++ b/commands/dev.go
@@ -24,6 +24,7 @@
 	Listen  string `long:"listen" default:"127.0.0.1:7070" value-name:"ADDR" description:"of the first entry"`
 	Entries int    `long:"entries" default:"2" description:"number of entries"`
 	Agents  int    `long:"agents" default:"11" description:"number of agents, each with a backend server of 8 slots"`
+	Jobs    string `long:"jobs-listen" default:"127.0.0.1:7270" value-name:"ADDR" description:"of the first coordinator"`
 	Level   string `long:"log-level" default:"warn" description:"debug, info, warn or error"`
 }
 
@@ -50,7 +51,19 @@
 	if err != nil {
 		return err
 	}
+	jobs, err := local.StartJobs(local.JobOptions{
+		Coordinators: c.Entries,
+		Workers:      c.Agents,
+		HTTP:         c.Jobs,
+		Work:         devTaskTime,
+		Log:          log,
+	})
+	if err != nil {
+		return err
+	}
+	defer jobs.Close()
 	c.greet(cluster)
+	c.greetJobs(jobs)
 	<-run.Done()
 	stop, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -76,3 +89,12 @@
 Stop with ctrl-C.
 `, urls[0], local.Team, local.Pool)
 }
+
+func (c *devCommand) greetJobs(jobs *local.JobCluster) {
+	fmt.Printf(`
+Beside them %d coordinators and %d workers, on a stand-in store:
+
+  curl -s %[3]s/v1/jobs -d '{"id":"5c0e7a21d94b36f8","queue":"%[4]s","spec":"x","steps":[{"count":20,"milli_cpu":500,"estimate_ms":50}]}'
+  curl -s %[3]s/v1/jobs/5c0e7a21d94b36f8
+`, c.Entries, c.Agents, jobs.URLs[0], local.Queue)
+}
--- /dev/null
+++ b/fakebackend/leased.go
@@ -0,0 +1,168 @@
+package fakebackend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/runtable"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// Leased is a stand-in for a backend server that runs tasks under a lease, in
+// the worker's process. It is a worker.Backend.
+type Leased struct {
+	Capacity durable.Resources
+	Service  string
+	Work     time.Duration // how long each run takes
+
+	mu       sync.Mutex
+	instance string
+	born     time.Time
+	token    uint64
+	deadline time.Duration // of the lease, on its own clock
+	running  map[wire.RunRef]leasedRun
+	newest   map[durable.TaskID]uint32
+	ended    []runtable.ListedEnd
+	numbers  uint64
+	starts   map[durable.TaskID]int
+}
+
+type leasedRun struct {
+	ends time.Time
+}
+
+// holdStep is how often a hold that waits looks for ends.
+const holdStep = 2 * time.Millisecond
+
+// NewLeased returns an idle backend server.
+func NewLeased(service string, capacity durable.Resources, work time.Duration) *Leased {
+	return &Leased{
+		Capacity: capacity,
+		Service:  service,
+		Work:     work,
+		instance: uuid.NewString(),
+		born:     time.Now().Add(-time.Second),
+		running:  make(map[wire.RunRef]leasedRun),
+		newest:   make(map[durable.TaskID]uint32),
+		starts:   make(map[durable.TaskID]int),
+	}
+}
+
+// Identity returns what its heartbeats say.
+func (l *Leased) Identity() runtable.Identity {
+	return runtable.Identity{Instance: l.instance, Service: l.Service, Ready: true, Capacity: l.Capacity}
+}
+
+// Starts returns how often each task has been started.
+func (l *Leased) Starts() map[durable.TaskID]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[durable.TaskID]int, len(l.starts))
+	for t, n := range l.starts {
+		out[t] = n
+	}
+	return out
+}
+
+// Identify implements worker.Backend.
+func (l *Leased) Identify(context.Context) (instance string, ok bool) { return l.instance, true }
+
+func (l *Leased) clock() time.Duration { return time.Since(l.born) }
+
+// settle ends what has ended by now.
+func (l *Leased) settle() {
+	lapsed := l.clock() > l.deadline
+	for ref, r := range l.running {
+		switch {
+		case lapsed:
+			l.end(ref, wire.EndLapsed)
+		case !time.Now().Before(r.ends):
+			l.end(ref, wire.EndDone)
+		}
+	}
+}
+
+func (l *Leased) end(ref wire.RunRef, how wire.End) {
+	delete(l.running, ref)
+	l.newest[ref.Task] = max(l.newest[ref.Task], ref.Run)
+	l.numbers++
+	l.ended = append(l.ended, runtable.ListedEnd{Number: l.numbers, Task: ref.Task.String(), Ref: ref, Valid: true, How: how})
+}
+
+// Start implements worker.Backend. It takes whatever its worker thinks fits.
+func (l *Leased) Start(_ context.Context, c runtable.StartCall) runtable.StartResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle()
+	switch {
+	case c.Instance != l.instance:
+		return runtable.StartWrongLife
+	case c.Token < l.token:
+		return runtable.StartFenced
+	case l.holds(c.Ref):
+		return runtable.StartAccepted
+	case c.Ref.Run <= l.newest[c.Ref.Task]:
+		return runtable.StartOld
+	case c.Deadline <= l.clock():
+		return runtable.StartLate
+	}
+	l.token = c.Token
+	l.deadline = max(l.deadline, c.Deadline)
+	l.running[c.Ref] = leasedRun{ends: time.Now().Add(l.Work)}
+	l.starts[c.Ref.Task]++
+	return runtable.StartAccepted
+}
+
+func (l *Leased) holds(ref wire.RunRef) bool {
+	_, ok := l.running[ref]
+	return ok
+}
+
+// Stop implements worker.Backend.
+func (l *Leased) Stop(_ context.Context, c runtable.StopCall) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle()
+	if l.holds(c.Ref) {
+		l.end(c.Ref, wire.EndStopped)
+	}
+	l.newest[c.Ref.Task] = max(l.newest[c.Ref.Task], c.Ref.Run)
+	return true
+}
+
+// Hold implements worker.Backend.
+func (l *Leased) Hold(ctx context.Context, c runtable.HoldCall) runtable.HoldAnswer {
+	until := time.Now().Add(c.Wait)
+	for {
+		a, news := l.look(c)
+		if news || ctx.Err() != nil || !time.Now().Before(until) {
+			return a
+		}
+		time.Sleep(holdStep)
+	}
+}
+
+// look returns the lists, and whether there is an end that was not seen.
+func (l *Leased) look(c runtable.HoldCall) (a runtable.HoldAnswer, news bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle()
+	if c.Token < l.token {
+		return runtable.HoldAnswer{Result: runtable.HoldFenced, Clock: l.clock()}, true
+	}
+	l.token = c.Token
+	l.deadline = max(l.deadline, c.Deadline)
+	for len(l.ended) > 0 && l.ended[0].Number <= c.LastSeen {
+		l.ended = l.ended[1:]
+	}
+	a = runtable.HoldAnswer{Result: runtable.HoldOK, Clock: l.clock()}
+	for ref := range l.running {
+		a.Running = append(a.Running, runtable.ListedRun{Ref: ref})
+	}
+	a.Ended = append(a.Ended, l.ended...)
+	return a, len(a.Ended) > 0
+}
--- /dev/null
+++ b/local/jobs.go
@@ -0,0 +1,157 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/coordinator"
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/fakebackend"
+	"github.com/lichenfall/lichenfall/fakestore"
+	"github.com/lichenfall/lichenfall/logging"
+	"github.com/lichenfall/lichenfall/metrics"
+	"github.com/lichenfall/lichenfall/ports"
+	"github.com/lichenfall/lichenfall/queues"
+	"github.com/lichenfall/lichenfall/web"
+	"github.com/lichenfall/lichenfall/worker"
+)
+
+// JobOptions says what a JobCluster runs.
+type JobOptions struct {
+	Coordinators int
+	Workers      int
+	HTTP         string        // address of the first coordinator; empty means any port
+	Work         time.Duration // how long each task takes
+	Log          *logging.Log
+}
+
+// Queue is the queue of a JobCluster, and its service.
+const (
+	Queue   = "default"
+	service = "stand-in"
+)
+
+// JobCluster is a running system of coordinators and workers on stand-ins.
+type JobCluster struct {
+	Store        *fakestore.Store
+	Backends     []*fakebackend.Leased
+	Coordinators []*coordinator.Coordinator
+	Workers      []*worker.Worker
+	URLs         []string // of the coordinators' own interface
+
+	opts    JobOptions
+	servers []*web.Server
+}
+
+const jobPartitions = 8
+
+// StartJobs starts a JobCluster.
+func StartJobs(o JobOptions) (*JobCluster, error) {
+	c := &JobCluster{Store: fakestore.New(jobPartitions), opts: o}
+	c.Store.Configure(&queues.Configuration{Version: 1, Rules: []queues.Rule{{Host: "localhost", Prefix: "/", Queue: durable.Queue{
+		Name: Queue, Service: service, MaxAttempts: 3, Stretch: 2, TargetMS: 100,
+	}}}})
+	for i := range o.Workers {
+		if err := c.addWorker(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	for i := range o.Coordinators {
+		if err := c.addCoordinator(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *JobCluster) addWorker(i int) error {
+	b := fakebackend.NewLeased(service, durable.Resources{CPU: 8000, Memory: 8192}, c.opts.Work)
+	c.Backends = append(c.Backends, b)
+	w, err := c.startWorker(i)
+	c.Workers = append(c.Workers, w)
+	return err
+}
+
+func (c *JobCluster) startWorker(i int) (*worker.Worker, error) {
+	cfg := config.DefaultWorker()
+	cfg.Box.Name = fmt.Sprintf("worker-%d", i)
+	cfg.Peers.Listen = ports.Any
+	w, err := worker.Start(cfg, c.Backends[i], c.Store, metrics.NewJobs(tally.NoopScope), c.opts.Log)
+	if err != nil {
+		return nil, err
+	}
+	w.Heartbeat(c.Backends[i].Identity())
+	return w, nil
+}
+
+// RestartWorker ends a worker and starts another beside the same backend
+// server.
+func (c *JobCluster) RestartWorker(i int) error {
+	c.Workers[i].Close()
+	w, err := c.startWorker(i)
+	if err == nil {
+		c.Workers[i] = w
+	}
+	return err
+}
+
+func (c *JobCluster) addCoordinator(i int) error {
+	cfg := config.DefaultCoordinator()
+	cfg.Box.Name = fmt.Sprintf("coordinator-%d", i)
+	cfg.Peers.Listen = ports.Any
+	k, err := coordinator.Start(cfg, c.Store, metrics.NewJobs(tally.NoopScope), c.opts.Log)
+	if err != nil {
+		return err
+	}
+	c.Coordinators = append(c.Coordinators, k)
+	listen := ports.Any
+	if i == 0 && c.opts.HTTP != "" {
+		listen = c.opts.HTTP
+	}
+	s, err := web.Listen(listen, k.Handler(), web.DefaultLimits())
+	if err != nil {
+		return err
+	}
+	c.servers = append(c.servers, s)
+	c.URLs = append(c.URLs, "http://"+s.Addr())
+	return nil
+}
+
+// StopCoordinator ends a coordinator: in order, or at once.
+func (c *JobCluster) StopCoordinator(i int, planned bool) {
+	if planned {
+		c.Coordinators[i].Drain()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_ = c.servers[i].Drain(ctx)
+	}
+	c.servers[i].Close()
+	c.Coordinators[i].Close()
+	c.Coordinators[i] = nil
+}
+
+// Close ends everything.
+func (c *JobCluster) Close() {
+	for _, s := range c.servers {
+		s.Close()
+	}
+	for _, k := range c.Coordinators {
+		if k != nil {
+			k.Close()
+		}
+	}
+	for _, w := range c.Workers {
+		if w != nil {
+			w.Close()
+		}
+	}
+}
+
+// AddCoordinator starts one more.
+func (c *JobCluster) AddCoordinator() error { return c.addCoordinator(len(c.Coordinators)) }
--- a/promises/random_test.go
+++ b/promises/random_test.go
@@ -58,6 +58,13 @@
 	for i := range jobsInCase {
 		j := newClientJob(w, i, w.chance(0.4))
 		w.after(warmUp+w.between(0, troubles), j.send)
+		for range 3 {
+			w.after(warmUp+w.between(0, troubles), func() {
+				if j.accepted {
+					j.ask(func() {})
+				}
+			})
+		}
 		if w.chance(0.1) {
 			w.after(warmUp+w.between(0, troubles+2*time.Second), j.cancel)
 		}
