coordinator: send a resent best-effort job to the one that still has it

Change: each coordinator tells the others of the jobs it has had for 0.8 s; a copy that comes elsewhere is passed on and joins the first. Peers that are gone for good are dialled less often. Test: local, seen failing without the check (4 starts in place of 2).

--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -63,7 +63,7 @@
 func (c *Coordinator) take(now time.Time, cl *call) {
 	c.nextCall++
 	cl.number = c.nextCall
-	if c.core.Owns(cl.id) || (cl.submission != nil && cl.submission.BestEffort) {
+	if c.core.Owns(cl.id) || c.takesBestEffort(cl) {
 		c.calls[scheduler.Call(cl.number)] = cl
 		c.toCore(now, cl)
 		return
@@ -73,6 +73,26 @@
 	}
 }
 
+// takesBestEffort returns whether the call is about a best-effort job that is
+// to run here: one that another coordinator still has is sent there.
+func (c *Coordinator) takesBestEffort(cl *call) bool {
+	if !cl.bestEffort() {
+		return false
+	}
+	_, elsewhere := c.heldBy[cl.id]
+	return cl.conn != nil || c.core.Holds(cl.id) || !elsewhere
+}
+
+func (cl *call) bestEffort() bool { return cl.submission != nil && cl.submission.BestEffort }
+
+// ownerOf returns the address of the coordinator that has the job.
+func (c *Coordinator) ownerOf(cl *call) string {
+	if cl.bestEffort() {
+		return c.heldBy[cl.id]
+	}
+	return c.remote[cl.id.Partition(c.cfg.Scheduler.Partitions)].address
+}
+
 func (c *Coordinator) toCore(now time.Time, cl *call) {
 	number := scheduler.Call(cl.number)
 	switch cl.kind {
@@ -87,11 +107,8 @@
 
 // forward returns whether the call is on its way to the owner.
 func (c *Coordinator) forward(now time.Time, cl *call) bool {
-	r, ok := c.remote[cl.id.Partition(c.cfg.Scheduler.Partitions)]
-	if !ok {
-		return false
-	}
-	l := c.links[r.address]
+	address := c.ownerOf(cl)
+	l := c.links[address]
 	if l == nil || l.conn == nil {
 		return false
 	}
@@ -99,7 +116,7 @@
 	if l.conn.Send(m) != nil {
 		return false
 	}
-	cl.sentTo = r.address
+	cl.sentTo = address
 	cl.since = now
 	c.forwarded[cl.number] = cl
 	return true
@@ -145,7 +162,7 @@
 // expireForwarded answers callers whose call got no answer from the owner.
 func (c *Coordinator) expireForwarded(now time.Time) {
 	for _, cl := range c.forwarded {
-		if now.Sub(cl.since) > c.cfg.Scheduler.CallLimit.D() {
+		if !cl.bestEffort() && now.Sub(cl.since) > c.cfg.Scheduler.CallLimit.D() {
 			c.failForward(now, cl)
 		}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/durable"
 	"github.com/lichenfall/lichenfall/logging"
 	"github.com/lichenfall/lichenfall/loop"
 	"github.com/lichenfall/lichenfall/metrics"
@@ -39,8 +40,9 @@
 	owned     *ownership.Table
 	loading   map[uint32]context.CancelFunc // partitions being read
 	writers   map[uint32]*writer
-	links     map[string]*link // to workers and other coordinators
-	remote    map[uint32]route // partitions of other coordinators
+	links     map[string]*link         // to workers and other coordinators
+	remote    map[uint32]route         // partitions of other coordinators
+	heldBy    map[durable.JobID]string // best-effort jobs that others have had for long, by address
 	calls     map[scheduler.Call]*call
 	forwarded map[uint64]*call // calls passed on, by their number
 	nextCall  uint64
@@ -81,6 +83,7 @@
 		writers:   make(map[uint32]*writer),
 		links:     make(map[string]*link),
 		remote:    make(map[uint32]route),
+		heldBy:    make(map[durable.JobID]string),
 		calls:     make(map[scheduler.Call]*call),
 		forwarded: make(map[uint64]*call),
 		counts:    make(map[string]map[string]uint32),
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -131,6 +131,11 @@
 	}
 }
 
+// announceAfter is the age from which other coordinators are told of a
+// best-effort job. It is less than the time after which a caller without an
+// answer sends it again.
+const announceAfter = 800 * time.Millisecond
+
 // tellCounts tells other coordinators what we own and how many jobs wait.
 func (c *Coordinator) tellCounts(now time.Time) {
 	if now.Sub(c.toldAt) < c.cfg.Ownership.Tell.D() {
@@ -139,7 +144,7 @@
 	c.toldAt = now
 	c.core.Others(c.reachable())
 	mine := c.core.Waiting()
-	m := &wire.QueueCounts{Partitions: c.core.Partitions()}
+	m := &wire.QueueCounts{Partitions: c.core.Partitions(), BestEffort: c.core.LongHeld(now, announceAfter)}
 	for queue, jobs := range mine {
 		m.Counts = append(m.Counts, wire.QueueCount{Queue: queue, Jobs: jobs})
 	}
@@ -178,6 +183,10 @@
 		counts[q.Queue] = q.Jobs
 	}
 	c.counts[from] = counts
+	c.forgetHeld(from)
+	for _, id := range m.BestEffort {
+		c.heldBy[id] = from
+	}
 	for p, r := range c.remote {
 		if r.address == from {
 			delete(c.remote, p)
@@ -198,5 +207,15 @@
 			delete(c.remote, p)
 		}
 	}
+	c.forgetHeld(from)
 	c.failForwarded(now, from)
 }
+
+// forgetHeld forgets the best-effort jobs that the coordinator had.
+func (c *Coordinator) forgetHeld(from string) {
+	for id, address := range c.heldBy {
+		if address == from {
+			delete(c.heldBy, id)
+		}
+	}
+}
--- a/local/jobs_test.go
+++ b/local/jobs_test.go
@@ -153,3 +153,29 @@
 		}
 	})
 })
+
+var _ = Describe("a best-effort job that is sent again elsewhere", func() {
+	It("joins the copy that still runs at another coordinator", func() {
+		s := startJobs(4 * time.Second)
+		s.submit(0, jobOf(1, true, 1)) // all are up from here on
+		first := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			status, _ := s.call(http.MethodPost, 0, "/v1/jobs", jobOf(2, true, 2))
+			first <- status
+		}()
+		time.Sleep(2 * time.Second) // its caller gives up and comes again
+		status, body := s.call(http.MethodPost, 1, "/v1/jobs", jobOf(2, true, 2))
+		Expect(status).To(Equal(http.StatusOK), body)
+		Expect(<-first).To(Equal(http.StatusOK))
+		starts := 0
+		for _, b := range s.Backends {
+			for task, n := range b.Starts() {
+				if task.Job == "0000000000000002" {
+					starts += n
+				}
+			}
+		}
+		Expect(starts).To(Equal(2), "two tasks, each once")
+	})
+})
--- a/peer/link.go
+++ b/peer/link.go
@@ -14,6 +14,12 @@
 // jitter, so that a returning rack is not met by everyone at once.
 const reconnectBase = 50 * time.Millisecond
 
+// A peer that could not be reached so often is probably gone for good.
+const (
+	goneAfter = 60
+	goneDelay = 3 * time.Second
+)
+
 const dialTimeout = time.Second
 
 // Keep holds a connection to addr until ctx ends, dialling again whenever it
@@ -25,6 +31,9 @@
 		if dialOnce(ctx, addr, opts, hello(), h) {
 			attempt = 0
 		}
+		if attempt > goneAfter {
+			pause(ctx, goneDelay)
+		}
 		pause(ctx, reconnect.Delay(attempt, rand.Float64()))
 	}
 }
--- a/scheduler/besteffort.go
+++ b/scheduler/besteffort.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/durable"
@@ -56,6 +57,21 @@
 	}
 }
 
+// LongHeld returns the best-effort jobs that came at least so long ago.
+func (c *Core) LongHeld(now time.Time, age time.Duration) []durable.JobID {
+	var out []durable.JobID
+	for id, j := range c.bestEffort {
+		if now.Sub(j.received) >= age {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Holds returns whether the best-effort job is here.
+func (c *Core) Holds(id durable.JobID) bool { return c.bestEffort[id] != nil }
+
 // answerBestEffort tells the callers of a job's end, and forgets it.
 func (c *Core) answerBestEffort(j *job) {
 	for _, call := range j.calls {
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -174,11 +174,13 @@
 	Jobs  uint32
 }
 
-// QueueCounts tells other coordinators of the sender's waiting jobs, and of
-// the partitions that it owns.
+// QueueCounts tells other coordinators of the sender's waiting jobs, of the
+// partitions that it owns, and of best-effort jobs that it has had for so long
+// that their callers may send them again elsewhere.
 type QueueCounts struct {
 	Partitions []PartitionEpoch
 	Counts     []QueueCount
+	BestEffort []durable.JobID
 }
 
 // BestEffortRuns is the Partition of a PartitionRuns that answers ClaimRuns.
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -709,8 +709,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QueueCounts) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Partitions)))
 	for za0001 := range z.Partitions {
 		// array header, size 2
@@ -725,6 +725,14 @@
 		o = msgp.AppendString(o, z.Counts[za0002].Queue)
 		o = msgp.AppendUint32(o, z.Counts[za0002].Jobs)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.BestEffort)))
+	for za0003 := range z.BestEffort {
+		o, err = z.BestEffort[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "BestEffort", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -736,8 +744,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -814,6 +822,28 @@
 			return
 		}
 	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BestEffort")
+		return
+	}
+	if zb0006 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.BestEffort) >= int(zb0006) {
+		z.BestEffort = (z.BestEffort)[:zb0006]
+	} else {
+		z.BestEffort = make([]durable.JobID, zb0006)
+	}
+	for za0003 := range z.BestEffort {
+		bts, err = z.BestEffort[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "BestEffort", za0003)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -824,6 +854,10 @@
 	for za0002 := range z.Counts {
 		s += 1 + msgp.StringPrefixSize + len(z.Counts[za0002].Queue) + msgp.Uint32Size
 	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.BestEffort {
+		s += z.BestEffort[za0003].Msgsize()
+	}
 	return
 }
 
