--- a/scheduler/besteffort.go
+++ b/scheduler/besteffort.go
@@ -134,7 +134,7 @@
 // giveUp refuses best-effort jobs that have not begun in time.
 func (c *Core) giveUp(now time.Time) {
 	for _, j := range ordered.Values(c.bestEffort) {
-		if j.begun && now.After(j.late) {
+		if j.begun && now.After(j.useless) {
 			c.tooLate(now, j)
 			continue
 		}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -53,6 +53,7 @@
 	longest  time.Duration // the longest chain of work
 	due      time.Time     // the objective
 	late     time.Time     // after which it is worth nothing
+	useless  time.Time     // the same, if the work was much underestimated
 	calls    []Call        // wait for the submission
 	cancels  []Call        // wait for the cancel
 	watchers []watcher     // wait a little for the end
@@ -73,6 +74,9 @@
 // of no use.
 const lateX = 3
 
+// estimateX is how many times longer than estimated work may well take.
+const estimateX = 2
+
 func newJob(s *durable.Submission, now time.Time) *job {
 	j := &job{sub: s, id: s.ID, received: now, left: s.Tasks(), stepLeft: make([]int, len(s.Steps))}
 	j.tasks = make([]task, 0, j.left)
@@ -104,6 +108,7 @@
 	objective := time.Duration(j.sub.Queue.Stretch*float64(longest)) + time.Duration(j.sub.Queue.TargetMS)*time.Millisecond
 	j.due = now.Add(objective)
 	j.late = now.Add(lateX * objective)
+	j.useless = now.Add(estimateX * lateX * objective)
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		t.due = j.due.Add(-chains[t.id.Step])
