scheduler: look at 64 workers a round; say at once that none can be reached

Cause: a task cost 112 us at 960 workers, 5 us at 11: every round looked at all. And a coordinator without a worker kept its callers waiting. Change: a round looks at a run of 64 workers; without a worker for 1.5 s a coordinator is not ready and refuses at once.

--- a/coordinator/control.go
+++ b/coordinator/control.go
@@ -95,6 +95,7 @@
 func (c *Coordinator) tick(now time.Time) {
 	c.checkLease(now)
 	c.core.Tick(now)
+	c.serving.Store(c.core.Serving(now))
 	c.expireForwarded(now)
 	c.tellCounts(now)
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -54,7 +54,8 @@
 	configuration atomic.Pointer[queues.Configuration]
 	waiting       atomic.Pointer[map[string]uint32] // waiting jobs of all coordinators
 	stopping      atomic.Bool
-	healthy       atomic.Bool
+	healthy       atomic.Bool // the store answers our joins
+	serving       atomic.Bool // there are workers that take tasks
 
 	peers    *peer.Listener
 	peerOpts peer.Options
@@ -126,7 +127,7 @@
 
 // Ready returns whether callers should come here.
 func (c *Coordinator) Ready() bool {
-	return c.configuration.Load() != nil && c.healthy.Load() && !c.stopping.Load()
+	return c.configuration.Load() != nil && c.serving.Load() && !c.stopping.Load()
 }
 
 // Stopping returns whether a planned stop has begun.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -18,12 +18,18 @@
 		capacity += cand.w.status.Capacity.CPU
 		room += max(0, cand.free.CPU)
 	}
-	if capacity == 0 || c.someUnknown(now) {
+	if c.someUnknown(now) || c.serving(now) == 0 && c.Serving(now) {
 		return true // it waits its time for those who may come
 	}
+	if capacity == 0 {
+		return false
+	}
 	if firstNeed(j).CPU <= room {
 		return true
 	}
+	if n := len(c.order); n > mostLooked {
+		capacity = capacity * int64(n) / mostLooked
+	}
 	first := &j.tasks[0]
 	wait := c.workBefore(service, first.want) / (float64(capacity) / float64(1+c.others))
 	return wait <= admitShare*float64(first.due.Sub(now))
@@ -43,6 +49,23 @@
 	return false
 }
 
+// serving returns how many workers can be reached and take tasks.
+func (c *Core) serving(now time.Time) int {
+	n := 0
+	for _, w := range c.order {
+		if w.up && w.status.Ready && now.Sub(w.heardAt) <= c.cfg.Suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// Serving returns whether there are workers that take tasks, or were until a
+// moment ago, or this process has only begun.
+func (c *Core) Serving(now time.Time) bool {
+	return c.served.IsZero() || now.Sub(c.served) < comingUp
+}
+
 // firstNeed returns what the tasks take that could begin at once.
 func firstNeed(j *job) durable.Resources {
 	var need durable.Resources
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -112,6 +112,7 @@
 	watched    map[*job]struct{} // jobs with watchers
 	active     int               // jobs that are not final
 	others     int               // coordinators that share the workers
+	served     time.Time         // when there was last a worker that took tasks
 
 	effects Effects
 }
@@ -148,6 +149,9 @@
 
 // Tick does what is due by time.
 func (c *Core) Tick(now time.Time) {
+	if c.served.IsZero() || c.serving(now) > 0 {
+		c.served = now
+	}
 	c.tickWorkers(now)
 	c.tickPartitions(now)
 	c.tickCallers(now)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -202,11 +202,8 @@
 			c.dispatchHeap(now, &q.late, workers, false, orders)
 		}
 	}
-	for _, w := range c.order {
+	for _, w := range ordered.KeysFunc(orders, byName) {
 		m := orders[w]
-		if m == nil {
-			continue
-		}
 		w.startSeq++
 		m.Seq = w.startSeq
 		c.send(w.name, m)
@@ -226,7 +223,7 @@
 func (c *Core) candidates(now time.Time, service string) []candidate {
 	var out []candidate
 	var slow []float64
-	for _, w := range c.order {
+	for _, w := range c.sample() {
 		if !w.up || !w.status.Ready || w.status.Service != service || now.Sub(w.heardAt) > c.cfg.Suspect {
 			continue
 		}
@@ -246,6 +243,24 @@
 	return out
 }
 
+// mostLooked is how many workers are looked at in one round, so that a task
+// costs the same however many there are.
+const mostLooked = 64
+
+// sample returns the workers to look at in this round: all, or a run of them
+// that begins anywhere.
+func (c *Core) sample() []*worker {
+	n := len(c.order)
+	if n <= mostLooked {
+		return c.order
+	}
+	at := c.random.IntN(n)
+	if at+mostLooked <= n {
+		return c.order[at : at+mostLooked]
+	}
+	return slices.Concat(c.order[at:], c.order[:at+mostLooked-n])
+}
+
 // spread is by how much of a worker's capacity the choice is left to chance, so
 // that coordinators do not all choose the same.
 const spread = 0.08
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -464,6 +464,18 @@
 		Expect(f.core.Take(f.now).Replies).To(BeEmpty())
 	})
 
+	It("is refused at once when no worker has been reached for a while", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.pass(time.Millisecond)
+		for range 150 {
+			f.pass(20 * time.Millisecond) // the worker stays silent
+		}
+		Expect(f.core.Serving(f.now)).To(BeFalse())
+		f.core.Submit(f.now, 1, bestEffort(1), 0)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.Overloaded)))
+	})
+
 	It("that cannot begin is given up while its caller can still try elsewhere", func() {
 		f := newFixture()
 		f.core.Submit(f.now, 1, bestEffort(1), time.Second)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -35,6 +35,9 @@
 	})
 }
 
+// byName orders workers by their names.
+func byName(a, b *worker) int { return cmp.Compare(a.name, b.name) }
+
 // byID orders jobs by their IDs.
 func byID(a, b *job) int { return cmp.Compare(a.id, b.id) }
 
