--- /dev/null
+++ b/config/scheduler.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/scheduler"
+)
+
+// Scheduler is the section on jobs and where their tasks run.
+type Scheduler struct {
+	Partitions uint32   `json:"partitions"`  // of the store; the same everywhere
+	Heartbeat  Duration `json:"heartbeat"`   // to each worker
+	Suspect    Duration `json:"suspect"`     // silence after which a worker is dialled anew
+	OwnerLease Duration `json:"owner_lease"` // how long a heartbeat holds at a worker
+	HoldLease  Duration `json:"hold_lease"`  // longest lease of a backend server
+	// BestEffortLease is the owner lease of jobs that are not kept.
+	BestEffortLease Duration `json:"best_effort_lease"`
+	StopGrace       Duration `json:"stop_grace"`    // from the end of an owner lease to that of the hold
+	CommitGap       Duration `json:"commit_gap"`    // between two commits of a partition
+	LazyCommit      Duration `json:"lazy_commit"`   // how long an end may wait that no caller waits for
+	CallLimit       Duration `json:"call_limit"`    // after which a caller is told that the outcome is unknown
+	RetryAfter      Duration `json:"retry_after"`   // what refused callers are told
+	CommitRetry     Duration `json:"commit_retry"`  // pause after the store refused
+	KeepFinal       Duration `json:"keep_final"`    // how long the state of ended jobs is kept
+	StateWait       Duration `json:"state_wait"`    // how long the answer to a question waits for a job's end
+	MaxBatch        int      `json:"max_batch"`     // bytes of one commit
+	MaxJobs         int      `json:"max_jobs"`      // jobs of one coordinator that have not ended
+	StragglerX      float64  `json:"straggler_x"`   // a run is stopped after so many times its estimate
+	StragglerMin    Duration `json:"straggler_min"` // and this much more
+}
+
+// DefaultScheduler returns the defaults of Scheduler.
+func DefaultScheduler() Scheduler {
+	return Scheduler{
+		Partitions:      8,
+		Heartbeat:       Duration(200 * time.Millisecond),
+		Suspect:         Duration(700 * time.Millisecond),
+		OwnerLease:      Duration(1600 * time.Millisecond),
+		HoldLease:       Duration(time.Second),
+		BestEffortLease: Duration(800 * time.Millisecond),
+		StopGrace:       Duration(200 * time.Millisecond),
+		CommitGap:       Duration(10 * time.Millisecond),
+		LazyCommit:      Duration(60 * time.Millisecond),
+		CallLimit:       Duration(1200 * time.Millisecond),
+		RetryAfter:      Duration(time.Second),
+		CommitRetry:     Duration(150 * time.Millisecond),
+		KeepFinal:       Duration(150 * time.Second),
+		StateWait:       Duration(150 * time.Millisecond),
+		MaxBatch:        1 << 20,
+		MaxJobs:         20000,
+		StragglerX:      3,
+		StragglerMin:    Duration(150 * time.Millisecond),
+	}
+}
+
+// drift is by how much the clock of a backend server may run slow.
+const drift = 0.02
+
+// doubtMargin covers timers that fire late.
+const doubtMargin = 100 * time.Millisecond
+
+// doubt returns how long after its last heartbeat a worker may run what it was
+// ordered to, when the owner's lease lasts so long.
+func (s *Scheduler) doubt(lease Duration) time.Duration {
+	return lease.D() + s.StopGrace.D() + time.Duration((1+drift)*float64(s.HoldLease)) + doubtMargin
+}
+
+func (s *Scheduler) check(c *checker) {
+	second := Duration(time.Second)
+	between(c, "scheduler.partitions", s.Partitions, 1, 4096)
+	c.span("scheduler.heartbeat", s.Heartbeat, Duration(10*time.Millisecond), s.OwnerLease/2)
+	c.span("scheduler.suspect", s.Suspect, s.Heartbeat, s.OwnerLease)
+	c.span("scheduler.owner_lease", s.OwnerLease, Duration(100*time.Millisecond), 60*second)
+	c.span("scheduler.best_effort_lease", s.BestEffortLease, Duration(100*time.Millisecond), 60*second)
+	c.span("scheduler.stop_grace", s.StopGrace, 0, 10*second)
+	c.span("scheduler.hold_lease", s.HoldLease, Duration(100*time.Millisecond), 60*second)
+	c.span("scheduler.commit_gap", s.CommitGap, 0, second)
+	c.span("scheduler.lazy_commit", s.LazyCommit, 0, 10*second)
+	c.span("scheduler.call_limit", s.CallLimit, Duration(10*time.Millisecond), 60*second)
+	c.span("scheduler.retry_after", s.RetryAfter, Duration(10*time.Millisecond), 60*second)
+	c.span("scheduler.commit_retry", s.CommitRetry, 0, 10*second)
+	c.span("scheduler.keep_final", s.KeepFinal, second, 24*3600*second)
+	c.span("scheduler.state_wait", s.StateWait, 0, 10*second)
+	between(c, "scheduler.max_batch", s.MaxBatch, 4096, 64<<20)
+	between(c, "scheduler.max_jobs", s.MaxJobs, 1, 10000000)
+	between(c, "scheduler.straggler_x", s.StragglerX, 1, 1000)
+	c.span("scheduler.straggler_min", s.StragglerMin, 0, 60*second)
+}
+
+// Core returns the settings of the scheduler's core.
+func (s *Scheduler) Core(dataCentre string) scheduler.Settings {
+	return scheduler.Settings{
+		Partitions:      s.Partitions,
+		DataCentre:      dataCentre,
+		Heartbeat:       s.Heartbeat.D(),
+		Suspect:         s.Suspect.D(),
+		Doubt:           s.doubt(s.OwnerLease),
+		BestEffortDoubt: s.doubt(s.BestEffortLease),
+		CommitGap:       s.CommitGap.D(),
+		LazyCommit:      s.LazyCommit.D(),
+		CallLimit:       s.CallLimit.D(),
+		RetryAfter:      s.RetryAfter.D(),
+		CommitRetry:     s.CommitRetry.D(),
+		KeepFinal:       s.KeepFinal.D(),
+		StateWait:       s.StateWait.D(),
+		MaxBatch:        s.MaxBatch,
+		MaxJobs:         s.MaxJobs,
+		StragglerX:      s.StragglerX,
+		StragglerMin:    s.StragglerMin.D(),
+	}
+}
--- /dev/null
+++ b/config/serving.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"time"
+)
+
+// Serving is the coordinator's section on where callers come.
+type Serving struct {
+	Listen   string `json:"listen"` // callers
+	Ready    string `json:"ready"`  // the balancer's question whether callers may come
+	MaxConns int    `json:"max_conns"`
+}
+
+// DefaultServing returns the defaults of Serving.
+func DefaultServing() Serving {
+	return Serving{Listen: "127.0.0.1:0", Ready: "127.0.0.1:0", MaxConns: 2000}
+}
+
+// Process is the section on what a process may take of its box.
+type Process struct {
+	MemoryMiB int64    `json:"memory_mib"` // the box's limit; 0 is none
+	Grace     Duration `json:"grace"`      // from a stop signal to the end
+}
+
+// DefaultProcess returns the defaults of Process.
+func DefaultProcess() Process { return Process{Grace: Duration(5 * time.Second)} }
+
+// StoreAddress is the section on the log service that keeps the state.
+type StoreAddress struct {
+	Address string `json:"address"`
+}
+
+// Beside is the worker's section on its backend server.
+type Beside struct {
+	Address string `json:"address"` // where the backend server takes orders
+	Listen  string `json:"listen"`  // where it sends its heartbeats
+}
+
+func (s *Serving) check(c *checker) {
+	c.address("serving.listen", s.Listen)
+	c.address("serving.ready", s.Ready)
+	between(c, "serving.max_conns", s.MaxConns, 1, 1000000)
+}
+
+func (p *Process) check(c *checker) {
+	between(c, "process.memory_mib", p.MemoryMiB, 0, 1<<20)
+	c.span("process.grace", p.Grace, 0, Duration(time.Hour))
+}
+
+func (s *StoreAddress) check(c *checker) { c.address("store.address", s.Address) }
+
+func (b *Beside) check(c *checker) {
+	c.address("backend.address", b.Address)
+	c.address("backend.listen", b.Listen)
+}
--- /dev/null
+++ b/promises/coordinator_test.go
@@ -0,0 +1,381 @@
+package promises
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/failure"
+	"github.com/lichenfall/lichenfall/ordered"
+	"github.com/lichenfall/lichenfall/ownership"
+	"github.com/lichenfall/lichenfall/scheduler"
+	"github.com/lichenfall/lichenfall/store"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// nodeCall is a client's call at a coordinator.
+type nodeCall struct {
+	kind       wire.CallKind
+	id         durable.JobID
+	submission *durable.Submission
+	reply      func(scheduler.Reply)
+	number     scheduler.Call
+}
+
+// coordinatorNode is a coordinator.
+type coordinatorNode struct {
+	process
+	core    *scheduler.Core
+	owned   *ownership.Table
+	epochs  map[uint32]uint64
+	append  map[uint32]*store.Appending
+	loading map[uint32]int
+	loads   int
+	conns   map[string]*conn
+	dialing map[string]bool
+	calls   map[scheduler.Call]*nodeCall
+	next    scheduler.Call
+	conns0  int
+}
+
+func newCoordinatorNode(w *world, name string) *coordinatorNode {
+	n := &coordinatorNode{process: process{w: w, name: name}}
+	n.start()
+	return n
+}
+
+// dial makes the connections that are missing.
+func (n *coordinatorNode) dial() {
+	for _, worker := range n.w.workers {
+		c := n.conns[worker.name]
+		if c != nil && (!worker.alive || worker.life != c.lifeOf[1] || c.broken) {
+			n.lost(c)
+			c = nil
+		}
+		if c != nil || !worker.alive || worker.paused || !n.w.reaches(n.name, worker.name) || !n.w.reaches(worker.name, n.name) {
+			continue
+		}
+		n.connect(worker)
+	}
+}
+
+func (n *coordinatorNode) connect(worker *workerNode) {
+	n.conns0++
+	c := &conn{from: n, to: worker, lifeOf: [2]int{n.life, worker.life}, name: fmt.Sprintf("%s#%d", n.incarnation(), n.conns0)}
+	n.conns[worker.name] = c
+	worker.conns[c.name] = c
+	worker.table.OwnerUp(n.w.now, c.name, n.incarnation())
+	worker.perform()
+	n.core.WorkerUp(n.w.now, worker.name, "dc")
+}
+
+func (n *coordinatorNode) lost(c *conn) {
+	c.broken = true
+	if n.conns[c.to.name] != c {
+		return
+	}
+	delete(n.conns, c.to.name)
+	n.core.WorkerDown(n.w.now, c.to.name)
+	if c.to.alive && c.to.life == c.lifeOf[1] {
+		c.to.post(c.lifeOf[1], func() { c.to.drop(c) })
+	}
+}
+
+func (n *coordinatorNode) join() {
+	sent := n.w.now
+	var a store.Assignment
+	life := n.life
+	n.w.storeCall(n.name, 900*time.Millisecond, func() error {
+		a = n.w.store.Join(n.w.now, n.incarnation(), n.owned.Generation(), n.owned.TTL)
+		return nil
+	}, func(err error, ok bool) {
+		n.post(life, func() {
+			if err == nil && ok {
+				n.joined(sent, a)
+			}
+			n.later(n.w.between(150*time.Millisecond, 250*time.Millisecond), n.join)
+		})
+	})
+}
+
+func (n *coordinatorNode) joined(sent time.Time, a store.Assignment) {
+	change := n.owned.Joined(sent, n.w.now, a)
+	for _, p := range change.Released {
+		n.letGo(p)
+	}
+	for _, p := range change.Acquired {
+		n.load(p, change.Epoch)
+	}
+	n.lease()
+	n.perform()
+}
+
+func (n *coordinatorNode) lease() {
+	for _, p := range ordered.Keys(n.epochs) {
+		n.core.Suspend(n.w.now, p, !n.owned.Valid(n.w.now))
+	}
+}
+
+func (n *coordinatorNode) letGo(p uint32) {
+	delete(n.loading, p)
+	delete(n.epochs, p)
+	delete(n.append, p)
+	n.core.Release(n.w.now, p, "given up")
+}
+
+func (n *coordinatorNode) load(p uint32, epoch uint64) {
+	n.loads++
+	ticket := n.loads
+	n.loading[p] = ticket
+	n.fence(p, epoch, ticket)
+}
+
+func (n *coordinatorNode) fence(p uint32, epoch uint64, ticket int) {
+	life := n.life
+	again := func() {
+		n.later(50*time.Millisecond, func() {
+			if n.loading[p] == ticket {
+				n.fence(p, epoch, ticket)
+			}
+		})
+	}
+	n.w.storeCall(n.name, time.Second, func() error { return n.w.store.Fence(p, epoch) }, func(err error, ok bool) {
+		n.post(life, func() {
+			switch {
+			case n.loading[p] != ticket:
+			case ok && err == nil:
+				n.read(p, epoch, ticket)
+			case ok && err == store.ErrFenced:
+				n.owned.Lost(p)
+				n.letGo(p)
+			default:
+				again()
+			}
+		})
+	})
+}
+
+func (n *coordinatorNode) read(p uint32, epoch uint64, ticket int) {
+	life := n.life
+	var records []durable.Record
+	n.w.storeCall(n.name, time.Second, func() error {
+		records = n.w.store.Newest(p)
+		return nil
+	}, func(err error, ok bool) {
+		n.post(life, func() {
+			switch {
+			case n.loading[p] != ticket:
+			case !ok || err != nil:
+				n.fence(p, epoch, ticket)
+			default:
+				n.loaded(p, epoch, records)
+			}
+		})
+	})
+}
+
+func (n *coordinatorNode) loaded(p uint32, epoch uint64, records []durable.Record) {
+	delete(n.loading, p)
+	stored, malformed := durable.Collect(records)
+	if len(malformed) > 0 {
+		n.w.broken("malformed records %v", malformed)
+	}
+	n.epochs[p] = epoch
+	n.append[p] = store.NewAppending()
+	n.core.Acquire(n.w.now, p, epoch, stored)
+	n.core.Suspend(n.w.now, p, !n.owned.Valid(n.w.now))
+	n.w.counts["takeovers"]++
+	n.perform()
+}
+
+// commit appends until the fate is known.
+func (n *coordinatorNode) commit(c scheduler.Commit) {
+	a := n.append[c.Partition]
+	if a == nil || n.epochs[c.Partition] != c.Epoch {
+		return
+	}
+	life := n.life
+	number := a.Number()
+	n.w.storeCall(n.name, 1500*time.Millisecond, func() error {
+		return n.w.store.Append(c.Partition, c.Epoch, number, c.Records)
+	}, func(err error, ok bool) {
+		n.post(life, func() {
+			if n.append[c.Partition] != a {
+				return
+			}
+			if !ok {
+				err = errSilence
+			}
+			n.committed(a, c, err)
+		})
+	})
+}
+
+var errSilence = fmt.Errorf("no answer")
+
+func (n *coordinatorNode) committed(a *store.Appending, c scheduler.Commit, err error) {
+	for _, r := range c.Records {
+		n.w.trace(n.incarnation(), r.Key, "commit part %d number %d: %x -> %v", c.Partition, a.Number(), r.Value, err)
+	}
+	switch a.Answered(err) {
+	case store.Open:
+		n.later(40*time.Millisecond, func() {
+			if n.append[c.Partition] == a {
+				n.commit(c)
+			}
+		})
+		return
+	case store.Done:
+		n.core.Committed(n.w.now, c.Partition, c.Epoch, scheduler.CommitOK)
+	case store.Refused:
+		n.core.Committed(n.w.now, c.Partition, c.Epoch, scheduler.CommitRefused)
+	default:
+		n.core.Committed(n.w.now, c.Partition, c.Epoch, scheduler.CommitFenced)
+		n.owned.Lost(c.Partition)
+		n.letGo(c.Partition)
+	}
+	n.perform()
+}
+
+// answer carries a reply to the client, if this process lives until then.
+func (n *coordinatorNode) answer(call *nodeCall, r scheduler.Reply) {
+	life := n.life
+	n.w.after(time.Millisecond, func() {
+		if n.alive && n.life == life && !n.paused {
+			call.reply(r)
+		}
+	})
+}
+
+// call takes a client's call, and passes it on to the owner of its partition.
+func (n *coordinatorNode) call(c *nodeCall) {
+	life := n.life
+	n.w.after(time.Millisecond, func() { n.post(life, func() { n.take(c, true) }) })
+}
+
+func (n *coordinatorNode) take(c *nodeCall, mayForward bool) {
+	bestEffort := c.submission != nil && c.submission.BestEffort
+	if !bestEffort && !n.core.Owns(c.id) {
+		owner := n.w.ownerOf(c.id)
+		if mayForward && owner != nil && owner != n && n.w.reaches(n.name, owner.name) {
+			life := owner.life
+			n.w.after(time.Millisecond, func() { owner.post(life, func() { owner.take(c, false) }) })
+			return
+		}
+		n.answer(c, scheduler.Reply{ID: c.id, Failure: failure.NoOwner})
+		return
+	}
+	n.next++
+	c.number = n.next
+	n.calls[c.number] = c
+	switch c.kind {
+	case wire.CallSubmit:
+		n.core.Submit(n.w.now, c.number, c.submission, 0)
+	case wire.CallState:
+		n.core.State(n.w.now, c.number, c.id, 0)
+	case wire.CallCancel:
+		n.core.Cancel(n.w.now, c.number, c.id)
+	}
+	n.perform()
+}
+
+// abandon tells the coordinator that the client has closed its connection.
+func (n *coordinatorNode) abandon(id durable.JobID) {
+	life := n.life
+	n.post(life, func() {
+		for _, number := range ordered.Keys(n.calls) {
+			c := n.calls[number]
+			if c.id == id && c.kind == wire.CallSubmit {
+				delete(n.calls, number)
+				n.core.Abandon(n.w.now, number, id)
+			}
+		}
+		n.perform()
+	})
+}
+
+// ownerOf returns the coordinator that says it owns the job's partition.
+func (w *world) ownerOf(id durable.JobID) *coordinatorNode {
+	var best *coordinatorNode
+	newest := uint64(0)
+	for _, n := range w.coordinators {
+		epoch, ok := n.epochs[id.Partition(w.partitions)]
+		if ok && n.alive && epoch >= newest {
+			best, newest = n, epoch
+		}
+	}
+	return best
+}
+
+func (n *coordinatorNode) start() {
+	n.alive, n.paused = true, false
+	n.life++
+	n.inbox = nil
+	n.core = scheduler.New(n.w.cfg.Core("dc"), n.w.random.Uint64())
+	n.owned = ownership.New(1200 * time.Millisecond)
+	n.epochs = make(map[uint32]uint64)
+	n.append = make(map[uint32]*store.Appending)
+	n.loading = make(map[uint32]int)
+	n.conns = make(map[string]*conn)
+	n.dialing = make(map[string]bool)
+	n.calls = make(map[scheduler.Call]*nodeCall)
+	for _, worker := range n.w.workers {
+		n.core.WorkerKnown(n.w.now, worker.name)
+	}
+	n.later(n.w.between(0, 50*time.Millisecond), n.join)
+	n.later(tickEvery, n.tick)
+}
+
+func (n *coordinatorNode) kill() {
+	n.alive = false
+	for _, c := range ordered.Values(n.conns) {
+		c.broken = true
+		c.to.post(c.lifeOf[1], func() { c.to.drop(c) })
+	}
+}
+
+func (n *coordinatorNode) tick() {
+	n.dial()
+	n.lease()
+	n.core.Tick(n.w.now)
+	n.perform()
+	n.later(tickEvery, n.tick)
+}
+
+func (n *coordinatorNode) message(c *conn, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.WorkerStatus:
+		n.core.Status(n.w.now, c.to.name, m)
+	case *wire.RunEnds:
+		n.core.Ends(n.w.now, c.to.name, m)
+	case *wire.PartitionRuns:
+		n.core.Runs(n.w.now, c.to.name, m)
+	}
+	n.perform()
+}
+
+func (n *coordinatorNode) perform() {
+	e := n.core.Take(n.w.now)
+	for _, note := range e.Notes {
+		n.w.trace(n.incarnation(), note.Task+string(note.Job), "%s run %d %s %s %d", note.What, note.Run, note.Worker, note.Reason, note.Number)
+	}
+	for _, c := range e.Commits {
+		n.commit(c)
+	}
+	for _, s := range e.Sends {
+		if c := n.conns[s.Worker]; c != nil {
+			c.toWorker(s.Message)
+		}
+	}
+	for _, r := range e.Replies {
+		if call := n.calls[r.Call]; call != nil {
+			delete(n.calls, r.Call)
+			n.answer(call, r)
+		}
+	}
+	for _, name := range e.Close {
+		if c := n.conns[name]; c != nil {
+			n.lost(c)
+		}
+	}
+}
--- /dev/null
+++ b/promises/worker_test.go
@@ -0,0 +1,189 @@
+package promises
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/ordered"
+	"github.com/lichenfall/lichenfall/runtable"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// workerNode is a worker with its backend server.
+type workerNode struct {
+	process
+	table   *runtable.Table
+	backend *backendNode
+	conns   map[string]*conn
+}
+
+func newWorkerNode(w *world, name string) *workerNode {
+	n := &workerNode{process: process{w: w, name: name}, backend: newBackendNode(w)}
+	n.start()
+	return n
+}
+
+func (n *workerNode) identify() {
+	if n.backend.up {
+		n.table.Identify(n.w.now, runtable.Identity{
+			Instance: n.backend.instance(n.name), Service: "s", Ready: true, Capacity: n.backend.capacity,
+		})
+		n.perform()
+	}
+	n.later(500*time.Millisecond, n.identify)
+}
+
+// holdAgain makes one hold after another.
+func (n *workerNode) holdAgain() {
+	call, ok := n.table.NextHold(n.w.now)
+	if !ok {
+		n.perform()
+		n.later(50*time.Millisecond, n.holdAgain)
+		return
+	}
+	done := false
+	finish := func(a runtable.HoldAnswer) {
+		if done {
+			return
+		}
+		done = true
+		n.table.HoldAnswered(n.w.now, call, a)
+		n.perform()
+		n.later(15*time.Millisecond, n.holdAgain)
+	}
+	n.order(func() runtable.HoldAnswer {
+		if !n.backend.up {
+			return runtable.HoldAnswer{Result: runtable.HoldDead}
+		}
+		return n.backend.hold(call, n.name)
+	}, finish)
+	n.later(n.w.runs.CallLimit.D(), func() { finish(runtable.HoldAnswer{}) })
+}
+
+// order plays a call to the backend server; its answer may be lost and it may
+// be carried out late.
+func (n *workerNode) order(carryOut func() runtable.HoldAnswer, answer func(runtable.HoldAnswer)) {
+	if n.w.chance(n.backend.lateBy) {
+		n.w.counts["late orders"]++
+		n.w.after(n.w.between(time.Millisecond, 8*time.Second), func() {
+			if n.backend.up {
+				carryOut()
+			}
+		})
+		return
+	}
+	life := n.life
+	n.w.after(n.w.between(100*time.Microsecond, 2*time.Millisecond), func() {
+		a := carryOut()
+		n.w.after(500*time.Microsecond, func() { n.post(life, func() { answer(a) }) })
+	})
+}
+
+func (n *workerNode) startRun(call runtable.StartCall) {
+	done := false
+	var result runtable.StartResult
+	finish := func(r runtable.StartResult) {
+		if done {
+			return
+		}
+		done = true
+		n.table.StartAnswered(n.w.now, call, r)
+		n.perform()
+	}
+	n.order(func() runtable.HoldAnswer {
+		if n.backend.up {
+			result = n.backend.start(call, n.name)
+		}
+		return runtable.HoldAnswer{}
+	}, func(runtable.HoldAnswer) { finish(result) })
+	n.later(n.w.runs.CallLimit.D(), func() { finish(runtable.StartUnknown) })
+}
+
+func (n *workerNode) stopRun(call runtable.StopCall) {
+	done := false
+	finish := func(ok bool) {
+		if done {
+			return
+		}
+		done = true
+		n.table.StopAnswered(n.w.now, call, ok)
+		n.perform()
+	}
+	answered := false
+	n.order(func() runtable.HoldAnswer {
+		if n.backend.up {
+			n.backend.stop(call, n.name)
+			answered = true
+		}
+		return runtable.HoldAnswer{}
+	}, func(runtable.HoldAnswer) { finish(answered) })
+	n.later(n.w.runs.CallLimit.D(), func() { finish(false) })
+}
+
+func (n *workerNode) drop(c *conn) {
+	if n.conns[c.name] == c {
+		delete(n.conns, c.name)
+		n.table.OwnerDown(n.w.now, c.name)
+		n.perform()
+	}
+}
+
+func (n *workerNode) start() {
+	n.alive, n.paused = true, false
+	n.life++
+	n.inbox = nil
+	n.table = runtable.New(n.w.runs.Core(), n.w.now)
+	n.conns = make(map[string]*conn)
+	n.later(n.w.between(0, 100*time.Millisecond), n.identify)
+	n.later(tickEvery, n.tick)
+	n.later(5*time.Millisecond, n.holdAgain)
+}
+
+func (n *workerNode) kill() {
+	n.alive = false
+	for _, c := range ordered.Values(n.conns) {
+		c.broken = true
+	}
+}
+
+func (n *workerNode) tick() {
+	n.table.Tick(n.w.now)
+	n.perform()
+	n.later(tickEvery, n.tick)
+}
+
+func (n *workerNode) perform() {
+	e := n.table.Take(n.w.now)
+	for _, note := range e.Notes {
+		n.w.trace(n.incarnation(), note.Ref.Task.String(), "%s run %d %s", note.What, note.Ref.Run, note.Reason)
+	}
+	for _, s := range e.Sends {
+		if c := n.conns[s.Owner]; c != nil {
+			c.toCoordinator(s.Message)
+		}
+	}
+	for _, call := range e.Starts {
+		n.startRun(call)
+	}
+	for _, call := range e.Stops {
+		n.stopRun(call)
+	}
+}
+
+func (n *workerNode) message(c *conn, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.OwnerHeartbeat:
+		n.table.Heartbeat(n.w.now, c.name, m)
+	case *wire.StartRuns:
+		n.table.Start(n.w.now, c.name, m)
+	case *wire.StopRuns:
+		n.table.Stop(n.w.now, c.name, m)
+	case *wire.EndsKept:
+		for _, r := range m.Runs {
+			n.w.trace(n.incarnation(), r.Task.String(), "kept run %d by %s", r.Run, c.name)
+		}
+		n.table.Kept(n.w.now, c.name, m)
+	case *wire.ClaimRuns:
+		n.table.Claim(n.w.now, c.name, m)
+	}
+	n.perform()
+}
