--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -63,3 +63,25 @@
 		core.Take(now)
 	}
 }
+
+// BenchmarkTick is a round of heartbeats to 960 workers, of which there are
+// five a second.
+func BenchmarkTick(b *testing.B) {
+	cfg := config.DefaultScheduler()
+	core := scheduler.New(cfg.Core("nadi"), 1)
+	now := time.Unix(1000, 0)
+	const workers = 960
+	for i := range workers {
+		name := fmt.Sprintf("w%d", i)
+		core.WorkerUp(now, name, "nadi")
+		core.Status(now, name, &wire.WorkerStatus{Stamp: 1, Instance: name, Service: "s", Ready: true})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(cfg.Heartbeat.D())
+		core.Tick(now)
+		for _, s := range core.Take(now).Sends {
+			core.Status(now, s.Worker, &wire.WorkerStatus{Stamp: 1, Instance: s.Worker, Service: "s", Ready: true})
+		}
+	}
+}
