--- a/promises/client_test.go
+++ b/promises/client_test.go
@@ -127,6 +127,9 @@
 		j.w.counts["accepted"]++
 	}
 	j.accepted = true
+	if j.w.onAccept != nil {
+		j.w.onAccept()
+	}
 }
 
 // ending checks a final state that a client was shown.
--- a/promises/random_test.go
+++ b/promises/random_test.go
@@ -42,6 +42,37 @@
 	}
 }
 
+// TestPowerOff kills every process in the moment in which a client learns that
+// its job is kept, three times in a case.
+func TestPowerOff(t *testing.T) {
+	cases := min(number("LICHENFALL_CASES", defaultCases/2), 200)
+	seed := number("LICHENFALL_SEED", defaultSeed)
+	accepted := 0
+	for i := range cases {
+		w := newWorld(seed + i)
+		left := 3
+		w.onAccept = func() {
+			if left > 0 && w.coordinators[0].alive {
+				left--
+				w.killAll()
+			}
+		}
+		for n := range jobsInCase {
+			j := newClientJob(w, n, false)
+			w.after(warmUp+w.between(0, troubles), j.send)
+		}
+		w.run(warmUp + troubles)
+		w.heal()
+		w.run(calm)
+		w.finish()
+		if w.violation != "" {
+			t.Fatalf("seed %d: %s", seed+i, w.violation)
+		}
+		accepted += w.counts["accepted"]
+	}
+	t.Logf("%d cases, %d accepted jobs, all ended", cases, accepted)
+}
+
 // Lengths of a case.
 const (
 	warmUp     = 2 * time.Second
--- a/promises/world_test.go
+++ b/promises/world_test.go
@@ -32,6 +32,7 @@
 
 	cfg       *config.Scheduler
 	runs      *config.Runs
+	onAccept  func() // called when a client learns that its job is kept
 	violation string
 	counts    map[string]int
 }
