loop, commands, scheduler, runtable: one pause, one wait for signals, no dead state

Cause: reading the change again. Both daemons' wait for signals was the same: signals.untilStop. Written and never read, or never called: worker.told, Note.Age, Core.WorkerGone, Table.Busy, Table.Draining, partition.want; coordinator.Register had no other caller. Ruled out: one registration for worker and coordinator (a worker's gives way to a newer one). Behaviour is meant to be the same.

--- a/commands/coordinator.go
+++ b/commands/coordinator.go
@@ -61,15 +61,7 @@
 	if err != nil {
 		return err
 	}
-	for {
-		select {
-		case <-sig.reload:
-			reloadLevel(&c.settingsFlag, cfg, func() string { return cfg.Log.Level }, log)
-			continue
-		case <-sig.stop:
-		}
-		break
-	}
+	sig.untilStop(func() { reloadLevel(&c.settingsFlag, cfg, &cfg.Log, log) })
 	k.Drain()
 	// The balancer needs to see that we are not ready; until then, and on open
 	// connections, callers are still served.
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -64,14 +64,26 @@
 	return s
 }
 
+// untilStop waits for the stop signal, and reloads at each reload signal.
+func (s signals) untilStop(reload func()) {
+	for {
+		select {
+		case <-s.reload:
+			reload()
+		case <-s.stop:
+			return
+		}
+	}
+}
+
 // reloadLevel reads the settings again; only the log's level can change while
 // the daemon runs.
-func reloadLevel(f *settingsFlag, s config.Settings, level func() string, log *logging.Log) {
+func reloadLevel(f *settingsFlag, s config.Settings, section *config.Log, log *logging.Log) {
 	if err := f.load(s); err != nil {
 		log.Warn("reload_failed", zap.Error(err))
 		return
 	}
-	if l, err := zap.ParseAtomicLevel(level()); err == nil {
+	if l, err := zap.ParseAtomicLevel(section.Level); err == nil {
 		log.Level.SetLevel(l.Level())
 	}
 	log.Info("reloaded")
--- a/commands/worker.go
+++ b/commands/worker.go
@@ -58,15 +58,7 @@
 		return err
 	}
 	defer admin.Close()
-	for {
-		select {
-		case <-sig.reload:
-			reloadLevel(&c.settingsFlag, cfg, func() string { return cfg.Log.Level }, log)
-			continue
-		case <-sig.stop:
-		}
-		break
-	}
+	sig.untilStop(func() { reloadLevel(&c.settingsFlag, cfg, &cfg.Log, log) })
 	w.Close()
 	return nil
 }
--- a/coordinator/appender.go
+++ b/coordinator/appender.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/logging"
+	"github.com/lichenfall/lichenfall/loop"
 	"github.com/lichenfall/lichenfall/scheduler"
 	"github.com/lichenfall/lichenfall/store"
 )
@@ -37,7 +38,7 @@
 		}
 		a.log.Warn("append_repeated", zap.Uint32("partition", c.Partition), zap.Uint64("epoch", c.Epoch),
 			zap.Uint64("number", a.appending.Number()), zap.Error(err))
-		sleep(ctx, appendAgain)
+		loop.Sleep(ctx, appendAgain)
 	}
 	return scheduler.CommitLost
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -165,11 +165,11 @@
 // register makes the process known, however long that takes.
 func (c *Coordinator) register() {
 	m := store.Member{Address: c.address(), Role: store.RoleCoordinator, DataCentre: c.cfg.Box.DataCentre}
-	Register(c.halt, c.store, m, c.log)
+	register(c.halt, c.store, m, c.log)
 }
 
-// Register makes a process known, and tries until ctx ends.
-func Register(ctx context.Context, s store.Store, m store.Member, log *logging.Log) {
+// register makes a process known, and tries until ctx ends.
+func register(ctx context.Context, s store.Store, m store.Member, log *logging.Log) {
 	const again = 300 * time.Millisecond
 	const limit = 2 * time.Second
 	for ctx.Err() == nil {
@@ -181,16 +181,7 @@
 			return
 		}
 		log.Warn("register_failed", zap.Error(err))
-		sleep(ctx, again)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		loop.Sleep(ctx, again)
 	}
 }
 
--- a/coordinator/owning.go
+++ b/coordinator/owning.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/durable"
+	"github.com/lichenfall/lichenfall/loop"
 	"github.com/lichenfall/lichenfall/scheduler"
 	"github.com/lichenfall/lichenfall/store"
 	"github.com/lichenfall/lichenfall/wire"
@@ -147,7 +148,7 @@
 			c.loop.Post(event{kind: evLost, partition: partition, epoch: epoch})
 			return
 		}
-		sleep(ctx, again)
+		loop.Sleep(ctx, again)
 	}
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/lichenfall/lichenfall/loop"
 	"github.com/lichenfall/lichenfall/retry"
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -32,9 +33,9 @@
 			attempt = 0
 		}
 		if attempt > goneAfter {
-			pause(ctx, goneDelay)
+			loop.Sleep(ctx, goneDelay)
 		}
-		pause(ctx, reconnect.Delay(attempt, rand.Float64()))
+		loop.Sleep(ctx, reconnect.Delay(attempt, rand.Float64()))
 	}
 }
 
@@ -52,12 +53,3 @@
 	err = c.serve(hello, h)
 	return err == nil || time.Since(start) > opts.ReconnectMax
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -153,7 +153,6 @@
 	What   string
 	Ref    wire.RunRef
 	Reason string
-	Age    time.Duration
 }
 
 // New returns a table; now is when the process began.
@@ -193,9 +192,6 @@
 // Identity returns the life that the table speaks of.
 func (t *Table) Identity() Identity { return t.identity }
 
-// Busy returns the number of runs here.
-func (t *Table) Busy() int { return len(t.runs) }
-
 // Identify tells the table of the backend server's life. A new life ends
 // everything of the one before.
 func (t *Table) Identify(now time.Time, id Identity) {
@@ -216,9 +212,6 @@
 	}
 }
 
-// Draining returns whether the backend server is known and takes no new work.
-func (t *Table) Draining() bool { return t.known && !t.identity.Ready }
-
 // lifeOver ends all runs: the process that ran them is gone.
 func (t *Table) lifeOver(now time.Time, reason string) {
 	for _, ref := range t.refs() {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -236,7 +236,7 @@
 	c.callers[call] = waitingCall{s.ID, now}
 	p.jobs[s.ID] = j
 	p.submitted = append(p.submitted, j)
-	p.want(now)
+	p.wantBy(now)
 	c.active++
 }
 
--- a/scheduler/partition.go
+++ b/scheduler/partition.go
@@ -40,9 +40,7 @@
 	cancels []Call
 }
 
-// want asks for a commit at once.
-func (p *partition) want(now time.Time) { p.wantBy(now) }
-
+// wantBy asks for a commit by that time.
 func (p *partition) wantBy(by time.Time) {
 	if p.urgentBy.IsZero() || by.Before(p.urgentBy) {
 		p.urgentBy = by
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -21,7 +21,6 @@
 	beatAt     time.Time // when the newest heartbeat was sent
 	beatSeq    uint64
 	startSeq   uint64
-	told       map[uint32]uint64 // partitions whose runs it has told us, by epoch
 	assigned   map[*task]struct{}
 	claimed    []*task // asked for since the connection is new
 	judge      judge
@@ -49,24 +48,17 @@
 	if c.workers[name] != nil {
 		return
 	}
-	w := &worker{name: name, assigned: make(map[*task]struct{}), told: make(map[uint32]uint64), judge: judge{slowness: 1}}
+	w := &worker{name: name, assigned: make(map[*task]struct{}), judge: judge{slowness: 1}}
 	c.workers[name] = w
 	at, _ := slices.BinarySearchFunc(c.order, name, func(w *worker, name string) int { return cmp.Compare(w.name, name) })
 	c.order = slices.Insert(c.order, at, w)
 	for _, p := range ordered.Values(c.partitions) {
-		if _, asked := p.asked[name]; !asked && c.hasDoubt(p) {
+		if _, asked := p.asked[name]; !asked && len(p.asked) > 0 {
 			p.asked[name] = now.Add(c.cfg.Doubt)
 		}
 	}
 }
 
-func (c *Core) hasDoubt(p *partition) bool { return len(p.asked) > 0 }
-
-// WorkerGone tells the core that a worker is no longer in the system.
-func (c *Core) WorkerGone(now time.Time, name string) {
-	c.WorkerDown(now, name)
-}
-
 // WorkerUp tells the core of a new connection to a worker.
 func (c *Core) WorkerUp(now time.Time, name, dataCentre string) {
 	c.WorkerKnown(now, name)
@@ -77,7 +69,6 @@
 	w.heardAt = now
 	w.upAt = now
 	w.startSeq, w.beatSeq = 0, 0
-	w.told = make(map[uint32]uint64)
 	for t := range w.assigned { // any order will do
 		t.startSeq = 0 // ordered over an earlier connection
 	}
@@ -176,7 +167,6 @@
 	if w == nil || p == nil || p.epoch != m.Epoch {
 		return
 	}
-	w.told[m.Partition] = m.Epoch
 	here := make(map[wire.RunRef]bool, len(m.Running))
 	for _, ref := range m.Running {
 		here[ref] = true
--- a/worker/control.go
+++ b/worker/control.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lichenfall/lichenfall/loop"
 	"github.com/lichenfall/lichenfall/peer"
 	"github.com/lichenfall/lichenfall/runtable"
 	"github.com/lichenfall/lichenfall/store"
@@ -163,7 +164,7 @@
 	result := w.backend.Start(ctx, c)
 	cancel()
 	if result == runtable.StartUnknown {
-		pause(w.halt, callAgain)
+		loop.Sleep(w.halt, callAgain)
 	}
 	w.loop.Post(event{kind: evStarted, start: c, result: result})
 }
@@ -173,7 +174,7 @@
 	ok := w.backend.Stop(ctx, c)
 	cancel()
 	if !ok {
-		pause(w.halt, callAgain)
+		loop.Sleep(w.halt, callAgain)
 	}
 	w.loop.Post(event{kind: evStopped, stop: c, ok: ok})
 }
@@ -206,7 +207,7 @@
 		w.loop.Post(event{kind: evHeld, hold: next.call, held: answer})
 		switch {
 		case answer.Result != runtable.HoldOK:
-			pause(w.halt, holdRetry)
+			loop.Sleep(w.halt, holdRetry)
 		case time.Since(began) < holdGap:
 			w.waitKick(holdGap)
 		}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -127,7 +127,7 @@
 			w.recall(instance)
 			return
 		}
-		pause(w.halt, again)
+		loop.Sleep(w.halt, again)
 	}
 }
 
@@ -176,7 +176,7 @@
 			return
 		}
 		w.log.Warn("register_failed", zap.Error(err))
-		pause(w.halt, registerAgain)
+		loop.Sleep(w.halt, registerAgain)
 	}
 }
 
@@ -209,14 +209,5 @@
 	_ = w.log.Sync()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // ownerName names a connection for the table.
 func ownerName(c *peer.Conn) string { return fmt.Sprintf("%p", c) }
