coordinator, membership: give each coordinator a subset of the workers

Every coordinator sent a heartbeat to every worker five times a second and got a whole status back: 64 x 236 x 10 messages a second there, and 912 KB/s for a coordinator at 960 workers, against a limit of 20 KB/s. Ruled out: ticks (about 15,000 wake-ups a second, a tenth of the messages); the choice of a worker (it looks at 64 whatever there are).

Change: a coordinator keeps connections to 48 workers of each service, a window of a ring that the live coordinators divide evenly, wider where each worker would have fewer than four coordinators. An owner that takes over a partition with jobs still connects to all workers until they have told what they have. The backend server's identity is told once for each life and not in each status. Other coordinators are told of counts once a second, of partitions and long-held jobs at once. Readers' buffers of connections take 4 KB in place of 64.

--- a/config/jobroles.go
+++ b/config/jobroles.go
@@ -8,6 +8,7 @@
 	Peers     Peers        `json:"peers"`
 	Store     StoreAddress `json:"store"`
 	Ownership Ownership    `json:"ownership"`
+	Subset    Subset       `json:"subset"`
 	Scheduler Scheduler    `json:"scheduler"`
 	Process   Process      `json:"process"`
 	Log       Log          `json:"log"`
@@ -22,6 +23,7 @@
 		Admin:     DefaultAdmin(),
 		Peers:     DefaultPeers(),
 		Ownership: DefaultOwnership(),
+		Subset:    DefaultSubset(),
 		Scheduler: DefaultScheduler(),
 		Process:   DefaultProcess(),
 		Log:       DefaultLog(),
@@ -35,6 +37,7 @@
 	k.Peers.check(c)
 	k.Store.check(c)
 	k.Ownership.check(c)
+	k.Subset.check(c)
 	k.Scheduler.check(c)
 	k.Process.check(c)
 	k.Log.check(c)
--- /dev/null
+++ b/config/subset.go
@@ -0,0 +1,22 @@
+package config
+
+import "github.com/lichenfall/lichenfall/membership"
+
+// Subset is the section on the workers that a coordinator keeps connections to.
+type Subset struct {
+	Size     int `json:"size"`     // workers of each service; all where there are no more
+	Coverage int `json:"coverage"` // coordinators that each worker should have at least
+}
+
+// DefaultSubset returns the defaults of Subset.
+func DefaultSubset() Subset { return Subset{Size: 48, Coverage: 4} }
+
+// Core returns the settings of the choice.
+func (s *Subset) Core() membership.SubsetSettings {
+	return membership.SubsetSettings{Size: s.Size, Coverage: s.Coverage}
+}
+
+func (s *Subset) check(c *checker) {
+	between(c, "subset.size", s.Size, 1, 10000)
+	between(c, "subset.coverage", s.Coverage, 1, 1000)
+}
--- a/coordinator/control.go
+++ b/coordinator/control.go
@@ -98,6 +98,9 @@
 	c.serving.Store(c.core.Serving(now))
 	c.expireForwarded(now)
 	c.tellCounts(now)
+	if now.Sub(c.chosenAt) >= chooseEvery {
+		c.chooseWorkers(now)
+	}
 }
 
 // perform does what the core has decided.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -40,6 +40,7 @@
 	owned     *ownership.Table
 	loading   map[uint32]context.CancelFunc // partitions being read
 	writers   map[uint32]*writer
+	members   map[string]store.Member  // all that are registered, by address
 	links     map[string]*link         // to workers and other coordinators
 	remote    map[uint32]route         // partitions of other coordinators
 	heldBy    map[durable.JobID]string // best-effort jobs that others have had for long, by address
@@ -47,7 +48,10 @@
 	forwarded map[uint64]*call // calls passed on, by their number
 	nextCall  uint64
 	counts    map[string]map[string]uint32 // waiting jobs by coordinator and queue
-	toldAt    time.Time
+	told      *wire.QueueCounts            // what the others were told last
+	toldAt    time.Time                    // zero when they are to be told at once
+	lookedAt  time.Time                    // when it was last looked whether to tell them
+	chosenAt  time.Time                    // when the workers to connect to were last chosen
 	joinAt    time.Time
 	leaving   bool
 
@@ -82,12 +86,14 @@
 		owned:     ownership.New(cfg.Ownership.TTL.D()),
 		loading:   make(map[uint32]context.CancelFunc),
 		writers:   make(map[uint32]*writer),
+		members:   make(map[string]store.Member),
 		links:     make(map[string]*link),
 		remote:    make(map[uint32]route),
 		heldBy:    make(map[durable.JobID]string),
 		calls:     make(map[scheduler.Call]*call),
 		forwarded: make(map[uint64]*call),
 		counts:    make(map[string]map[string]uint32),
+		told:      &wire.QueueCounts{},
 		kick:      make(chan struct{}, 1),
 	}
 	c.peerOpts = peer.Options{
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -20,6 +21,8 @@
 	role wire.Role
 	conn *peer.Conn // nil while there is none
 	stop context.CancelFunc
+	// changed is when the connection was made or lost, or first wanted.
+	changed time.Time
 }
 
 // route says where calls about a partition go.
@@ -31,19 +34,27 @@
 // membersChanged connects to processes that are new.
 func (c *Coordinator) membersChanged(now time.Time, members []store.Member) {
 	for _, m := range members {
-		if m.Address == c.address() || c.links[m.Address] != nil {
+		if m.Address == c.address() {
 			continue
 		}
-		role := wire.RoleCoordinator
+		if _, known := c.members[m.Address]; !known {
+			c.log.Info("member_known", zap.String("address", m.Address), zap.String("role", string(m.Role)))
+		}
+		c.members[m.Address] = m
 		if m.Role == store.RoleWorker {
-			role = wire.RoleWorker
 			c.core.WorkerKnown(now, m.Address)
+		} else if c.links[m.Address] == nil {
+			c.connect(now, m.Address, wire.RoleCoordinator)
 		}
-		ctx, stop := context.WithCancel(c.halt)
-		c.links[m.Address] = &link{role: role, stop: stop}
-		go peer.Keep(ctx, m.Address, c.peerOpts, c.hello, outbound{c, m.Address})
-		c.log.Info("member_known", zap.String("address", m.Address), zap.String("role", string(m.Role)))
 	}
+	c.chooseWorkers(now)
+}
+
+// connect keeps a connection to the address until it is no longer wanted.
+func (c *Coordinator) connect(now time.Time, address string, role wire.Role) {
+	ctx, stop := context.WithCancel(c.halt)
+	c.links[address] = &link{role: role, stop: stop, changed: now}
+	go peer.Keep(ctx, address, c.peerOpts, c.hello, outbound{c, address})
 }
 
 // outbound handles the connection that we keep to an address.
@@ -87,6 +98,7 @@
 		return
 	}
 	l.conn = ev.conn
+	l.changed = now
 	if l.role == wire.RoleWorker {
 		c.core.WorkerUp(now, ev.peer, ev.hello.DataCentre)
 		return
@@ -101,6 +113,7 @@
 		return
 	}
 	l.conn = nil
+	l.changed = now
 	if l.role == wire.RoleWorker {
 		c.core.WorkerDown(now, ev.peer)
 		return
@@ -136,15 +149,24 @@
 // answer sends it again.
 const announceAfter = 800 * time.Millisecond
 
-// tellCounts tells other coordinators what we own and how many jobs wait.
+// tellAnyway is how old the counts that others have of us may get.
+const tellAnyway = time.Second
+
+// tellCounts tells other coordinators what we own and how many jobs wait: soon
+// where they would send a call to the wrong place, else now and then.
 func (c *Coordinator) tellCounts(now time.Time) {
-	if now.Sub(c.toldAt) < c.cfg.Ownership.Tell.D() {
+	if now.Sub(c.lookedAt) < c.cfg.Ownership.Tell.D() && !c.toldAt.IsZero() {
 		return
 	}
-	c.toldAt = now
-	c.core.Others(c.reachable())
+	c.lookedAt = now
 	mine := c.core.Waiting()
+	c.sumCounts(mine)
 	m := &wire.QueueCounts{Partitions: c.core.Partitions(), BestEffort: c.core.LongHeld(now, announceAfter)}
+	if now.Sub(c.toldAt) < tellAnyway && !routesDiffer(m, c.told) {
+		return
+	}
+	c.toldAt = now
+	c.told = m
 	for queue, jobs := range mine {
 		m.Counts = append(m.Counts, wire.QueueCount{Queue: queue, Jobs: jobs})
 	}
@@ -153,7 +175,20 @@
 			_ = l.conn.Send(m)
 		}
 	}
-	c.sumCounts(mine)
+}
+
+// routesDiffer returns whether a call could go to the wrong place by what the
+// others were told before.
+func routesDiffer(m, told *wire.QueueCounts) bool {
+	if !slices.Equal(m.Partitions, told.Partitions) {
+		return true
+	}
+	for _, id := range m.BestEffort {
+		if _, known := slices.BinarySearch(told.BestEffort, id); !known {
+			return true
+		}
+	}
+	return false
 }
 
 // reachable returns how many other coordinators are connected.
--- a/local/jobs.go
+++ b/local/jobs.go
@@ -26,6 +26,7 @@
 	Workers      int
 	HTTP         string        // address of the first coordinator; empty means any port
 	Work         time.Duration // how long each task takes
+	Subset       config.Subset // workers of each coordinator; the defaults if zero
 	Log          *logging.Log
 }
 
@@ -105,6 +106,9 @@
 	cfg := config.DefaultCoordinator()
 	cfg.Box.Name = fmt.Sprintf("coordinator-%d", i)
 	cfg.Peers.Listen = ports.Any
+	if c.opts.Subset != (config.Subset{}) {
+		cfg.Subset = c.opts.Subset
+	}
 	k, err := coordinator.Start(cfg, c.Store, metrics.NewJobs(tally.NoopScope), c.opts.Log)
 	if err != nil {
 		return err
--- a/local/jobs_test.go
+++ b/local/jobs_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/coordinator"
 	"github.com/lichenfall/lichenfall/local"
 	"github.com/lichenfall/lichenfall/logging"
@@ -22,7 +23,12 @@
 type jobSystem struct{ *local.JobCluster }
 
 func startJobs(work time.Duration) jobSystem {
-	c, err := local.StartJobs(local.JobOptions{Coordinators: 3, Workers: 4, Work: work, Log: logging.Discard()})
+	return startSystem(local.JobOptions{Coordinators: 3, Workers: 4, Work: work})
+}
+
+func startSystem(o local.JobOptions) jobSystem {
+	o.Log = logging.Discard()
+	c, err := local.StartJobs(o)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.Close)
 	return jobSystem{c}
@@ -154,6 +160,41 @@
 	})
 })
 
+var _ = Describe("coordinators that each use a few of the workers", func() {
+	few := local.JobOptions{Coordinators: 3, Workers: 6, Work: 300 * time.Millisecond, Subset: config.Subset{Size: 2, Coverage: 1}}
+
+	It("use all workers together", func() {
+		few := few
+		few.Work = 20 * time.Millisecond
+		s := startSystem(few)
+		for n := range 60 {
+			s.submit(n%3, jobOf(n, n%2 == 0, 8))
+		}
+		for n := range 60 {
+			if n%2 == 1 {
+				s.becomes(n%3, fmt.Sprintf("%016x", n), "completed")
+			}
+		}
+		for i, b := range s.Backends {
+			Expect(b.Starts()).NotTo(BeEmpty(), "backend server %d", i)
+		}
+	})
+
+	It("find what runs at any worker when they take a partition over", func() {
+		s := startSystem(few)
+		for n := range 24 {
+			s.submit(n%3, jobOf(n, false, 3))
+		}
+		for i := range 3 {
+			s.StopCoordinator(i, false)
+		}
+		Expect(s.AddCoordinator()).To(Succeed())
+		for n := range 24 {
+			s.becomes(3, fmt.Sprintf("%016x", n), "completed")
+		}
+	})
+})
+
 var _ = Describe("a best-effort job that is sent again elsewhere", func() {
 	It("joins the copy that still runs at another coordinator", func() {
 		s := startJobs(4 * time.Second)
--- /dev/null
+++ b/membership/subset.go
@@ -0,0 +1,88 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SubsetWorker is a worker that a coordinator may keep a connection to.
+type SubsetWorker struct {
+	Address string
+	Service string // of its backend server; empty while it is not known
+	Lost    bool   // it cannot be reached at present
+}
+
+// SubsetSettings bound how many workers one coordinator keeps connections to.
+type SubsetSettings struct {
+	Size     int // workers of each service; all of them where there are no more
+	Coverage int // coordinators that each worker should have at least
+}
+
+// Subset returns the addresses of the workers that one of the coordinators, self,
+// keeps connections to. The workers of a service form a ring in the order of
+// the hashes of their addresses; the coordinators divide it evenly, and each
+// takes the workers from its place on. Lost ones are taken beside those that
+// count. So the connections of one process do not grow with all processes, and
+// no worker is left out as long as the coordinators know of each other.
+func Subset(cfg SubsetSettings, self string, coordinators []string, workers []SubsetWorker) map[string]bool {
+	place, count := placeOf(self, coordinators)
+	chosen := make(map[string]bool)
+	for _, ring := range rings(workers) {
+		start := place * len(ring) / count
+		left := cfg.sizeFor(len(ring), count)
+		for i := 0; i < len(ring) && left > 0; i++ {
+			w := ring[(start+i)%len(ring)]
+			chosen[w.Address] = true
+			if !w.Lost {
+				left--
+			}
+		}
+	}
+	return chosen
+}
+
+// Sharers returns how many of so many coordinators keep a connection to one of
+// so many workers of a service, on the average.
+func (s SubsetSettings) Sharers(workers, coordinators int) float64 {
+	if workers == 0 {
+		return float64(coordinators)
+	}
+	size := min(workers, s.sizeFor(workers, coordinators))
+	return float64(coordinators) * float64(size) / float64(workers)
+}
+
+// sizeFor returns how many workers of a service each coordinator takes.
+func (s SubsetSettings) sizeFor(workers, coordinators int) int {
+	covering := math.Ceil(float64(s.Coverage) * float64(workers) / float64(coordinators))
+	return max(s.Size, int(covering))
+}
+
+// placeOf returns the place of self among the coordinators, and their number
+// with it.
+func placeOf(self string, coordinators []string) (place, count int) {
+	all := slices.Clone(coordinators)
+	if !slices.Contains(all, self) {
+		all = append(all, self)
+	}
+	slices.SortFunc(all, compareHashes)
+	return slices.Index(all, self), len(all)
+}
+
+// rings returns the workers of each service in the order of their ring.
+func rings(workers []SubsetWorker) map[string][]SubsetWorker {
+	byService := make(map[string][]SubsetWorker)
+	for _, w := range workers {
+		byService[w.Service] = append(byService[w.Service], w)
+	}
+	for _, ring := range byService {
+		slices.SortFunc(ring, func(a, b SubsetWorker) int { return compareHashes(a.Address, b.Address) })
+	}
+	return byService
+}
+
+func compareHashes(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
--- /dev/null
+++ b/membership/subset_test.go
@@ -0,0 +1,87 @@
+package membership_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/membership"
+)
+
+func addresses(prefix string, n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("%s%d:1", prefix, i))
+	}
+	return out
+}
+
+func workersAt(addresses []string, service string) []membership.SubsetWorker {
+	var out []membership.SubsetWorker
+	for _, a := range addresses {
+		out = append(out, membership.SubsetWorker{Address: a, Service: service})
+	}
+	return out
+}
+
+var _ = Describe("a subset of workers", func() {
+	cfg := membership.SubsetSettings{Size: 48, Coverage: 4}
+
+	It("is all of them where they are few", func() {
+		workers := workersAt(addresses("w", 11), "s")
+		chosen := membership.Subset(cfg, "c0:1", addresses("c", 3), workers)
+		Expect(chosen).To(HaveLen(11))
+		Expect(cfg.Sharers(11, 3)).To(Equal(3.0))
+	})
+
+	It("does not grow with the workers, and leaves none out", func() {
+		coordinators := addresses("c", 205)
+		workers := workersAt(addresses("w", 960), "s")
+		covered := make(map[string]int)
+		for _, self := range coordinators {
+			chosen := membership.Subset(cfg, self, coordinators, workers)
+			Expect(chosen).To(HaveLen(48))
+			for a := range chosen {
+				covered[a]++
+			}
+		}
+		Expect(covered).To(HaveLen(960))
+		for _, n := range covered {
+			Expect(n).To(BeNumerically("~", 205*48.0/960, 2))
+		}
+		Expect(cfg.Sharers(960, 205)).To(BeNumerically("~", 10.25, 0.01))
+	})
+
+	It("grows where coordinators are too few to cover all workers", func() {
+		coordinators := addresses("c", 10)
+		workers := workersAt(addresses("w", 960), "s")
+		Expect(membership.Subset(cfg, "c3:1", coordinators, workers)).To(HaveLen(384))
+	})
+
+	It("takes others beside those that are lost", func() {
+		coordinators := addresses("c", 20)
+		workers := workersAt(addresses("w", 200), "s")
+		before := membership.Subset(cfg, "c3:1", coordinators, workers)
+		for i := range workers {
+			workers[i].Lost = before[workers[i].Address] && i%2 == 0
+		}
+		after := membership.Subset(cfg, "c3:1", coordinators, workers)
+		reachable := 0
+		for _, w := range workers {
+			if after[w.Address] && !w.Lost {
+				reachable++
+			}
+		}
+		Expect(reachable).To(Equal(48))
+		for a := range before {
+			Expect(after).To(HaveKey(a))
+		}
+	})
+
+	It("is drawn for each service apart", func() {
+		workers := append(workersAt(addresses("w", 100), "s"), workersAt(addresses("v", 5), "t")...)
+		chosen := membership.Subset(cfg, "c0:1", addresses("c", 30), workers)
+		Expect(chosen).To(HaveLen(53))
+	})
+})
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -95,7 +95,12 @@
 // of ours.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
 
-const bufferBytes = 64 << 10
+// Sizes of buffers. Most messages are small, and a process has hundreds of
+// connections: the reader's buffer, which each keeps, is small too.
+const (
+	bufferBytes = 64 << 10
+	readBytes   = 4 << 10
+)
 
 // Conn is one connection to a peer. Send may be called from any goroutine.
 type Conn struct {
@@ -123,7 +128,7 @@
 	return &Conn{
 		opts: opts,
 		nc:   nc,
-		r:    bufio.NewReaderSize(nc, bufferBytes),
+		r:    bufio.NewReaderSize(nc, readBytes),
 		wake: make(chan struct{}, 1),
 		done: make(chan struct{}),
 	}
--- a/runtable/backend.go
+++ b/runtable/backend.go
@@ -1,6 +1,7 @@
 package runtable
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/durable"
@@ -16,6 +17,17 @@
 	Labels   []string
 }
 
+// same returns whether the two say the same.
+func (id *Identity) same(o *Identity) bool {
+	return id.Instance == o.Instance && id.Service == o.Service && id.Ready == o.Ready &&
+		id.Capacity == o.Capacity && slices.Equal(id.Labels, o.Labels)
+}
+
+// told returns what owners are told of it.
+func (id *Identity) told() *wire.BackendIdentity {
+	return &wire.BackendIdentity{Instance: id.Instance, Service: id.Service, Capacity: id.Capacity, Labels: id.Labels}
+}
+
 // StartResult is the backend server's answer to an order to start.
 type StartResult uint8
 
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -101,6 +101,7 @@
 	startSeq     uint64
 	fenced       []uint32
 	dirty        bool // wants a status
+	identified   bool // has had the identity in force
 }
 
 type runState uint8
@@ -198,7 +199,7 @@
 	if t.known && id.Instance != t.identity.Instance {
 		t.lifeOver(now, "new_instance")
 	}
-	changed := !t.known || t.identity.Ready != id.Ready || t.identity.Capacity != id.Capacity
+	before, known := t.identity, t.known
 	if id.Capacity == (durable.Resources{}) {
 		id.Capacity = t.identity.Capacity
 		id.Service = t.identity.Service
@@ -206,10 +207,14 @@
 	}
 	t.identity = id
 	t.known = true
-	if changed {
-		t.touchAll()
-		t.effects.Hold = true
+	if known && before.same(&id) {
+		return
+	}
+	for _, o := range t.owners {
+		o.identified = false
 	}
+	t.touchAll()
+	t.effects.Hold = true
 }
 
 // lifeOver ends all runs: the process that ran them is gone.
@@ -361,15 +366,15 @@
 		Stamp:        t.stamp(now),
 		HeartbeatSeq: o.heartbeatSeq,
 		StartSeq:     o.startSeq,
-		Instance:     t.identity.Instance,
-		Service:      t.identity.Service,
 		Ready:        t.canStart(),
-		Capacity:     t.identity.Capacity,
 		Free:         t.identity.Capacity.Sub(running).Sub(waiting),
 		Waiting:      uint32(len(t.waiting)),
-		Labels:       t.identity.Labels,
 		Fenced:       o.fenced,
 	}
 	o.fenced = nil
+	if !o.identified {
+		o.identified = true
+		s.Identity = t.identity.told()
+	}
 	return s
 }
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -15,7 +15,7 @@
 	service := j.sub.Queue.Service
 	var room, capacity int64
 	for _, cand := range c.candidates(now, service) {
-		capacity += cand.w.status.Capacity.CPU
+		capacity += cand.w.identity.Capacity.CPU
 		room += max(0, cand.free.CPU)
 	}
 	if c.someUnknown(now) || c.serving(now) == 0 && c.Serving(now) {
@@ -27,11 +27,11 @@
 	if firstNeed(j).CPU <= room {
 		return true
 	}
-	if n := len(c.order); n > mostLooked {
+	if n := len(c.chosen); n > mostLooked {
 		capacity = capacity * int64(n) / mostLooked
 	}
 	first := &j.tasks[0]
-	wait := c.workBefore(service, first.want) / (float64(capacity) / float64(1+c.others))
+	wait := c.workBefore(service, first.want) / (float64(capacity) / max(1, c.sharers[service]))
 	return wait <= admitShare*float64(first.due.Sub(now))
 }
 
@@ -41,7 +41,7 @@
 // someUnknown returns whether there are workers that may have room but have
 // not said so yet.
 func (c *Core) someUnknown(now time.Time) bool {
-	for _, w := range c.order {
+	for _, w := range c.chosen {
 		if w.up && !w.status.Ready && now.Sub(w.upAt) < comingUp {
 			return true
 		}
@@ -52,7 +52,7 @@
 // serving returns how many workers can be reached and take tasks.
 func (c *Core) serving(now time.Time) int {
 	n := 0
-	for _, w := range c.order {
+	for _, w := range c.chosen {
 		if w.up && w.status.Ready && now.Sub(w.heardAt) <= c.cfg.Suspect {
 			n++
 		}
@@ -89,5 +89,6 @@
 	return work
 }
 
-// Others tells the core how many other coordinators share the workers.
-func (c *Core) Others(n int) { c.others = n }
+// Shared tells the core how many coordinators share each of the service's
+// workers that new tasks may go to, this one among them: 1 or more.
+func (c *Core) Shared(service string, sharers float64) { c.sharers[service] = sharers }
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -27,8 +27,8 @@
 	seen := make(map[string]uint64)
 	status := func(name string) {
 		core.Status(now, name, &wire.WorkerStatus{
-			Stamp: 1, Instance: name, Service: "s", Ready: true, StartSeq: seen[name],
-			Capacity: durable.Resources{CPU: 1 << 40, Memory: 1 << 40}, Free: durable.Resources{CPU: 1 << 40, Memory: 1 << 40},
+			Stamp: 1, Ready: true, StartSeq: seen[name], Free: durable.Resources{CPU: 1 << 40, Memory: 1 << 40},
+			Identity: &wire.BackendIdentity{Instance: name, Service: "s", Capacity: durable.Resources{CPU: 1 << 40, Memory: 1 << 40}},
 		})
 	}
 	for i := range workers {
@@ -74,14 +74,14 @@
 	for i := range workers {
 		name := fmt.Sprintf("w%d", i)
 		core.WorkerUp(now, name, "nadi")
-		core.Status(now, name, &wire.WorkerStatus{Stamp: 1, Instance: name, Service: "s", Ready: true})
+		core.Status(now, name, &wire.WorkerStatus{Stamp: 1, Ready: true, Identity: &wire.BackendIdentity{Instance: name, Service: "s"}})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(cfg.Heartbeat.D())
 		core.Tick(now)
 		for _, s := range core.Take(now).Sends {
-			core.Status(now, s.Worker, &wire.WorkerStatus{Stamp: 1, Instance: s.Worker, Service: "s", Ready: true})
+			core.Status(now, s.Worker, &wire.WorkerStatus{Stamp: 1, Ready: true})
 		}
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -106,13 +106,14 @@
 	partitions map[uint32]*partition
 	bestEffort map[durable.JobID]*job // jobs that are not kept
 	workers    map[string]*worker
-	order      []*worker              // by name
+	order      []*worker              // all that are known, by name
+	chosen     []*worker              // those that new tasks may go to, by name
 	ready      map[string]*readyQueue // by service
 	callers    map[Call]waitingCall
-	watched    map[*job]struct{} // jobs with watchers
-	active     int               // jobs that are not final
-	others     int               // coordinators that share the workers
-	served     time.Time         // when there was last a worker that took tasks
+	watched    map[*job]struct{}  // jobs with watchers
+	active     int                // jobs that are not final
+	sharers    map[string]float64 // coordinators that share each worker of a service, with this one
+	served     time.Time          // when there was last a worker that took tasks
 
 	effects Effects
 }
@@ -134,6 +135,7 @@
 		ready:      make(map[string]*readyQueue),
 		callers:    make(map[Call]waitingCall),
 		watched:    make(map[*job]struct{}),
+		sharers:    make(map[string]float64),
 	}
 }
 
--- a/scheduler/partition.go
+++ b/scheduler/partition.go
@@ -72,8 +72,10 @@
 			open++
 		}
 	}
-	for _, w := range c.order {
-		p.asked[w.name] = now.Add(c.cfg.Doubt)
+	if len(stored) > 0 { // else no worker can have anything of it
+		for _, w := range c.order {
+			p.asked[w.name] = now.Add(c.cfg.Doubt)
+		}
 	}
 	for _, w := range c.order {
 		c.heartbeat(now, w)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -21,7 +21,7 @@
 	var out []candidate
 	var slow []float64
 	for _, w := range c.sample() {
-		if !w.up || !w.status.Ready || w.status.Service != service || now.Sub(w.heardAt) > c.cfg.Suspect {
+		if !w.up || !w.status.Ready || w.identity.Service != service || now.Sub(w.heardAt) > c.cfg.Suspect {
 			continue
 		}
 		free := w.status.Free
@@ -47,15 +47,15 @@
 // sample returns the workers to look at in this round: all, or a run of them
 // that begins anywhere.
 func (c *Core) sample() []*worker {
-	n := len(c.order)
+	n := len(c.chosen)
 	if n <= mostLooked {
-		return c.order
+		return c.chosen
 	}
 	at := c.random.IntN(n)
 	if at+mostLooked <= n {
-		return c.order[at : at+mostLooked]
+		return c.chosen[at : at+mostLooked]
 	}
-	return slices.Concat(c.order[at:], c.order[:at+mostLooked-n])
+	return slices.Concat(c.chosen[at:], c.chosen[:at+mostLooked-n])
 }
 
 // spread is by how much of a worker's capacity the choice is left to chance, so
@@ -102,7 +102,7 @@
 )
 
 func (c *Core) score(t *task, cand *candidate, wait bool) (score float64, ok bool) {
-	capacity := cand.w.status.Capacity
+	capacity := cand.w.identity.Capacity
 	if !t.step.Need.Fits(capacity) || !allowed(t, cand.w) || capacity.CPU == 0 {
 		return 0, false
 	}
@@ -123,7 +123,7 @@
 	if cand.w.dataCentre == c.cfg.DataCentre {
 		score += scoreNear
 	}
-	if t.step.Affinity != "" && slices.Contains(cand.w.status.Labels, t.step.Affinity) {
+	if t.step.Affinity != "" && slices.Contains(cand.w.identity.Labels, t.step.Affinity) {
 		score += scoreRack
 	}
 	return score + share + cand.jitter, true
@@ -135,7 +135,7 @@
 
 // allowed returns whether the step's constraints let the task run there.
 func allowed(t *task, w *worker) bool {
-	if t.step.Requires != "" && !slices.Contains(w.status.Labels, t.step.Requires) {
+	if t.step.Requires != "" && !slices.Contains(w.identity.Labels, t.step.Requires) {
 		return false
 	}
 	if t.step.AntiAffinity == 0 {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -57,8 +57,8 @@
 func (f *fixture) status(name string, free int64) {
 	f.stamp++
 	f.core.Status(f.now, name, &wire.WorkerStatus{
-		Stamp: f.stamp, Instance: "i-" + name, Service: "s", Ready: true, StartSeq: f.starts[name],
-		Capacity: durable.Resources{CPU: 4000, Memory: 1000}, Free: durable.Resources{CPU: free, Memory: 1000},
+		Stamp: f.stamp, Ready: true, StartSeq: f.starts[name], Free: durable.Resources{CPU: free, Memory: 1000},
+		Identity: &wire.BackendIdentity{Instance: "i-" + name, Service: "s", Capacity: durable.Resources{CPU: 4000, Memory: 1000}},
 	})
 }
 
@@ -361,6 +361,43 @@
 	})
 })
 
+var _ = Describe("a worker that is passed over", func() {
+	It("gets no new tasks, and what it has goes on", func() {
+		f := newFixture().owning(nil)
+		f.worker("w1")
+		first := f.running(job(tasks(2)))
+		Expect(first).To(HaveLen(2))
+		f.core.PassOver("w1", true)
+		f.worker("w2")
+		Expect(f.core.Busy("w1")).To(BeTrue())
+		f.end(first[0], wire.EndFailed)
+		f.status("w1", 4000)
+		again := f.orders(f.core.Take(f.now))
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].worker).To(Equal("w2"))
+		f.end(first[1], wire.EndDone)
+		f.end(again[0], wire.EndDone)
+		f.commit(scheduler.CommitOK)
+		Expect(f.state()).To(Equal(durable.Completed))
+		Expect(f.core.Busy("w1")).To(BeFalse())
+	})
+
+	It("is asked what it has of a partition with jobs, and not of one without", func() {
+		f := newFixture()
+		f.core.WorkerUp(f.now, "w1", "nadi")
+		f.core.PassOver("w1", true)
+		f.owning(nil)
+		Expect(f.core.Asking()).To(BeFalse())
+		f = newFixture()
+		f.core.WorkerUp(f.now, "w1", "nadi")
+		f.core.PassOver("w1", true)
+		f.owning(map[durable.JobID]*durable.Stored{id: {Submission: job(tasks(1))}})
+		Expect(f.core.Asking()).To(BeTrue())
+		f.core.Runs(f.now, "w1", &wire.PartitionRuns{Partition: f.partition(), Epoch: epoch})
+		Expect(f.core.Asking()).To(BeFalse())
+	})
+})
+
 var _ = Describe("a worker's list", func() {
 	It("does not speak of orders that were sent after it was written", func() {
 		f := newFixture().owning(nil)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -14,7 +14,9 @@
 	name       string // its address
 	dataCentre string
 	up         bool
+	passedOver bool // no new tasks go there; what it has goes on
 	status     wire.WorkerStatus
+	identity   wire.BackendIdentity
 	heardAt    time.Time // when the newest status came
 	upAt       time.Time // when the connection was made
 	fullUntil  time.Time // it had no room for what we thought would fit or wait there
@@ -50,8 +52,8 @@
 	}
 	w := &worker{name: name, assigned: make(map[*task]struct{}), judge: judge{slowness: 1}}
 	c.workers[name] = w
-	at, _ := slices.BinarySearchFunc(c.order, name, func(w *worker, name string) int { return cmp.Compare(w.name, name) })
-	c.order = slices.Insert(c.order, at, w)
+	c.order = insertByName(c.order, w)
+	c.chosen = insertByName(c.chosen, w)
 	for _, p := range ordered.Values(c.partitions) {
 		if _, asked := p.asked[name]; !asked && len(p.asked) > 0 {
 			p.asked[name] = now.Add(c.cfg.Doubt)
@@ -59,6 +61,43 @@
 	}
 }
 
+func insertByName(workers []*worker, w *worker) []*worker {
+	at, _ := slices.BinarySearchFunc(workers, w, byName)
+	return slices.Insert(workers, at, w)
+}
+
+// PassOver tells the core whether new tasks may go to the worker. At first they
+// may.
+func (c *Core) PassOver(name string, passedOver bool) {
+	w := c.workers[name]
+	if w == nil || w.passedOver == passedOver {
+		return
+	}
+	w.passedOver = passedOver
+	if !passedOver {
+		c.chosen = insertByName(c.chosen, w)
+		return
+	}
+	c.chosen = slices.DeleteFunc(c.chosen, func(o *worker) bool { return o == w })
+}
+
+// Busy returns whether the worker has tasks of ours, or may have.
+func (c *Core) Busy(name string) bool {
+	w := c.workers[name]
+	return w != nil && len(w.assigned) > 0
+}
+
+// Asking returns whether workers are still to tell what they have of a
+// partition.
+func (c *Core) Asking() bool {
+	for _, p := range c.partitions {
+		if len(p.asked) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // WorkerUp tells the core of a new connection to a worker.
 func (c *Core) WorkerUp(now time.Time, name, dataCentre string) {
 	c.WorkerKnown(now, name)
@@ -66,6 +105,7 @@
 	w.up = true
 	w.dataCentre = dataCentre
 	w.status = wire.WorkerStatus{}
+	w.identity = wire.BackendIdentity{}
 	w.heardAt = now
 	w.upAt = now
 	w.startSeq, w.beatSeq = 0, 0
@@ -94,8 +134,11 @@
 		return
 	}
 	first := w.status.Stamp == 0
-	if m.Instance != w.status.Instance && !first {
-		w.judge = judge{slowness: 1}
+	if m.Identity != nil {
+		if m.Identity.Instance != w.identity.Instance && !first {
+			w.judge = judge{slowness: 1}
+		}
+		w.identity = *m.Identity
 	}
 	w.status = *m
 	w.heardAt = now
@@ -130,7 +173,7 @@
 		if w.up && now.Sub(w.beatAt) >= c.cfg.Heartbeat {
 			c.heartbeat(now, w)
 		}
-		if !w.up {
+		if !w.up && len(w.assigned) > 0 {
 			c.writeOff(now, w)
 		}
 		if w.up {
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -7,7 +7,7 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver ClaimRuns
+//msgp:tuple PartitionEpoch OwnerHeartbeat BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver ClaimRuns
 //msgp:limit arrays:65536
 
 // PartitionEpoch says that the sender owns a partition, with the fencing epoch
@@ -27,20 +27,25 @@
 	Partitions []PartitionEpoch
 }
 
+// BackendIdentity describes one life of a worker's backend server.
+type BackendIdentity struct {
+	Instance string // changes with each life
+	Service  string
+	Capacity durable.Resources
+	Labels   []string
+}
+
 // WorkerStatus is a worker's state. It answers a heartbeat, and is sent when
 // something has changed.
 type WorkerStatus struct {
-	Stamp        int64  // the worker's steady clock in microseconds, never 0
-	HeartbeatSeq uint64 // the newest heartbeat that was handled
-	StartSeq     uint64 // the newest StartRuns that was handled
-	Instance     string // the life of the backend server
-	Service      string
-	Ready        bool // takes new tasks
-	Capacity     durable.Resources
+	Stamp        int64             // the worker's steady clock in microseconds, never 0
+	HeartbeatSeq uint64            // the newest heartbeat that was handled
+	StartSeq     uint64            // the newest StartRuns that was handled
+	Ready        bool              // takes new tasks
 	Free         durable.Resources // after what runs and waits there; may be negative
 	Waiting      uint32            // tasks that wait for room
-	Labels       []string
-	Fenced       []uint32 // partitions of the receiver that another owner has claimed
+	Fenced       []uint32          // partitions of the receiver that another owner has claimed
+	Identity     *BackendIdentity  // nil while it is that of the last status on the connection
 }
 
 // RunRef names one run of a task.
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -12,6 +12,87 @@
 	z267f2b0elimitArrays = 65536
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *BackendIdentity) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Instance)
+	o = msgp.AppendString(o, z.Service)
+	o, err = z.Capacity.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Labels)))
+	for za0001 := range z.Labels {
+		o = msgp.AppendString(o, z.Labels[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *BackendIdentity) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	bts, err = z.Capacity.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Labels")
+		return
+	}
+	if zb0002 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Labels) >= int(zb0002) {
+		z.Labels = (z.Labels)[:zb0002]
+	} else {
+		z.Labels = make([]string, zb0002)
+	}
+	for za0001 := range z.Labels {
+		z.Labels[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Labels", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *BackendIdentity) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Instance) + msgp.StringPrefixSize + len(z.Service) + z.Capacity.Msgsize() + msgp.ArrayHeaderSize
+	for za0001 := range z.Labels {
+		s += msgp.StringPrefixSize + len(z.Labels[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z CallKind) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1309,32 +1390,30 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendInt64(o, z.Stamp)
 	o = msgp.AppendUint64(o, z.HeartbeatSeq)
 	o = msgp.AppendUint64(o, z.StartSeq)
-	o = msgp.AppendString(o, z.Instance)
-	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBool(o, z.Ready)
-	o, err = z.Capacity.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Capacity")
-		return
-	}
 	o, err = z.Free.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Free")
 		return
 	}
 	o = msgp.AppendUint32(o, z.Waiting)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Labels)))
-	for za0001 := range z.Labels {
-		o = msgp.AppendString(o, z.Labels[za0001])
-	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Fenced)))
-	for za0002 := range z.Fenced {
-		o = msgp.AppendUint32(o, z.Fenced[za0002])
+	for za0001 := range z.Fenced {
+		o = msgp.AppendUint32(o, z.Fenced[za0001])
+	}
+	if z.Identity == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Identity.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Identity")
+			return
+		}
 	}
 	return
 }
@@ -1347,8 +1426,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Stamp, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1366,26 +1445,11 @@
 		err = msgp.WrapError(err, "StartSeq")
 		return
 	}
-	z.Instance, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	z.Service, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
 	z.Ready, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Ready")
 		return
 	}
-	bts, err = z.Capacity.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Capacity")
-		return
-	}
 	bts, err = z.Free.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Free")
@@ -1399,44 +1463,38 @@
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Labels")
+		err = msgp.WrapError(err, "Fenced")
 		return
 	}
 	if zb0002 > z267f2b0elimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Labels) >= int(zb0002) {
-		z.Labels = (z.Labels)[:zb0002]
+	if cap(z.Fenced) >= int(zb0002) {
+		z.Fenced = (z.Fenced)[:zb0002]
 	} else {
-		z.Labels = make([]string, zb0002)
+		z.Fenced = make([]uint32, zb0002)
 	}
-	for za0001 := range z.Labels {
-		z.Labels[za0001], bts, err = msgp.ReadStringBytes(bts)
+	for za0001 := range z.Fenced {
+		z.Fenced[za0001], bts, err = msgp.ReadUint32Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Labels", za0001)
+			err = msgp.WrapError(err, "Fenced", za0001)
 			return
 		}
 	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Fenced")
-		return
-	}
-	if zb0003 > z267f2b0elimitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if cap(z.Fenced) >= int(zb0003) {
-		z.Fenced = (z.Fenced)[:zb0003]
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Identity = nil
 	} else {
-		z.Fenced = make([]uint32, zb0003)
-	}
-	for za0002 := range z.Fenced {
-		z.Fenced[za0002], bts, err = msgp.ReadUint32Bytes(bts)
+		if z.Identity == nil {
+			z.Identity = new(BackendIdentity)
+		}
+		bts, err = z.Identity.UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Fenced", za0002)
+			err = msgp.WrapError(err, "Identity")
 			return
 		}
 	}
@@ -1446,10 +1504,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerStatus) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Instance) + msgp.StringPrefixSize + len(z.Service) + msgp.BoolSize + z.Capacity.Msgsize() + z.Free.Msgsize() + msgp.Uint32Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Labels {
-		s += msgp.StringPrefixSize + len(z.Labels[za0001])
+	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + z.Free.Msgsize() + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Fenced) * (msgp.Uint32Size))
+	if z.Identity == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Identity.Msgsize()
 	}
-	s += msgp.ArrayHeaderSize + (len(z.Fenced) * (msgp.Uint32Size))
 	return
 }
