runtable, scheduler: know a silent backend server; a job handed back has not begun

Meanwhile the worker went on calling itself ready. Beside it, found by reading: a refused copy of an order whose first copy had no answer was called not run, although the first may be carried out later. And jobs counted as begun with the first order, so that one whose tasks were all handed back went before all others, never was late, and was answered 504 in place of 429.

Lines of which there may be many are sampled.

--- a/config/runs.go
+++ b/config/runs.go
@@ -60,6 +60,7 @@
 		StopGrace:       r.StopGrace.D(),
 		HoldLease:       r.HoldLease.D(),
 		HoldRenew:       r.HoldRenew.D(),
+		Silence:         2*r.HoldRenew.D() + r.CallLimit.D(),
 		Drift:           drift,
 		StartLimit:      r.StartLimit.D(),
 		MaxWaiting:      r.MaxWaiting,
--- a/runtable/answers.go
+++ b/runtable/answers.go
@@ -21,7 +21,10 @@
 			t.sendStop(r)
 		}
 	case StartUnknown:
+		r.unanswered = true
 		t.resend(now, r)
+	case StartDead:
+		t.lifeOver(now, "connection_refused")
 	case StartOld:
 		t.resolveLater(r)
 	default:
@@ -29,9 +32,13 @@
 	}
 }
 
-// resend repeats an order without an answer: the run number makes both one.
+// resend repeats an order without an answer: the run number makes both one. A
+// silent backend server gets it when it answers again.
 func (t *Table) resend(now time.Time, r *run) {
-	t.note("start_repeated", r.order.Ref, "no_answer")
+	if t.silent {
+		return
+	}
+	t.noteUsual("start_repeated", r.order.Ref, "no_answer")
 	t.sendStart(now, r)
 }
 
@@ -42,6 +49,8 @@
 	t.effects.Hold = true
 }
 
+// refused takes the refusal of an order. If an earlier copy of it had no answer,
+// that one may still be carried out, so the run is sealed.
 func (t *Table) refused(now time.Time, r *run, result StartResult) {
 	if result == StartNoRoom {
 		t.noRoomAt = now
@@ -50,6 +59,10 @@
 		t.token = 0
 		t.firstHold = false
 	}
+	if r.unanswered {
+		t.sendStop(r)
+		return
+	}
 	delete(t.runs, r.order.Ref)
 	t.endRun(now, r, wire.EndNotRun, result.String())
 	t.effects.Hold = true
@@ -62,7 +75,9 @@
 		return
 	}
 	if !answered {
-		t.sendStop(r)
+		if !t.silent {
+			t.sendStop(r)
+		}
 		return
 	}
 	t.resolveLater(r)
@@ -100,7 +115,6 @@
 		t.lifeOver(now, "wrong_life")
 		return
 	case HoldUnknown:
-		t.unanswered(now)
 		return
 	case HoldFenced:
 		t.setClock(now, a.Clock)
@@ -108,6 +122,7 @@
 		return
 	}
 	t.setClock(now, a.Clock)
+	t.checkSilence(now)
 	if call.Token == 0 {
 		t.newToken()
 		return
@@ -131,21 +146,6 @@
 	}
 }
 
-// unanswered ends all runs once the lease that was renewed last is over.
-func (t *Table) unanswered(now time.Time) {
-	if len(t.runs) > 0 && t.firstHold {
-		t.lapseWithout(now)
-	}
-}
-
-// lapseWithout begins to let the lease lapse when no renewal came through for
-// most of it: the backend server is silent, and what it runs will be dead.
-func (t *Table) lapseWithout(now time.Time) {
-	if now.Sub(t.clockAt) > t.cfg.HoldLease {
-		t.lapse(now, "backend_silent")
-	}
-}
-
 // listed takes the lists of an answered hold.
 func (t *Table) listed(now time.Time, call HoldCall, a *HoldAnswer) {
 	running := make(map[wire.RunRef]bool, len(a.Running))
--- a/runtable/backend.go
+++ b/runtable/backend.go
@@ -43,9 +43,10 @@
 	StartUnhealthy                    // the backend server takes nothing now
 	StartInvalid                      // it does not understand the order
 	StartWrongLife                    // another life answered
+	StartDead                         // nothing listens: the life is over
 )
 
-var startReasons = [...]string{"unknown", "accepted", "fenced", "old", "late", "no_room", "unhealthy", "invalid", "wrong_life"}
+var startReasons = [...]string{"unknown", "accepted", "fenced", "old", "late", "no_room", "unhealthy", "invalid", "wrong_life", "dead"}
 
 // String returns the result as a word for logs and labels.
 func (r StartResult) String() string { return startReasons[r] }
--- a/runtable/lapse.go
+++ b/runtable/lapse.go
@@ -10,6 +10,8 @@
 // Tick does what is due by time.
 func (t *Table) Tick(now time.Time) {
 	t.expire(now)
+	t.checkSilence(now)
+	t.lapseSilent(now)
 	t.finishLapse(now)
 	t.giveUpStarts(now)
 	for ref, e := range t.recent {
@@ -129,6 +131,9 @@
 
 // giveUpStarts seals starts that have had no answer for too long.
 func (t *Table) giveUpStarts(now time.Time) {
+	if t.silent {
+		return // the lease will end them
+	}
 	for _, ref := range t.refs() {
 		r := t.runs[ref]
 		if r.state == runStarting && now.Sub(r.firstSent) > t.cfg.StartLimit {
--- a/runtable/owners.go
+++ b/runtable/owners.go
@@ -199,7 +199,7 @@
 		reason = "busy"
 	}
 	if reason != "" {
-		t.note("run_refused", order.Ref, reason)
+		t.noteUsual("run_refused", order.Ref, reason)
 		t.tell(name, wire.RunEnd{Ref: order.Ref, How: uint8(wire.EndNotRun), Reason: reason})
 		return
 	}
--- a/runtable/runtable_test.go
+++ b/runtable/runtable_test.go
@@ -73,6 +73,14 @@
 	return f
 }
 
+// passHolding lets time pass in which the backend server answers.
+func (f *fixture) passHolding(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.hold(nil)
+		f.pass(min(f.cfg.HoldRenew.D(), end.Sub(f.now)))
+	}
+}
+
 // heartbeat renews the owner's leases from now.
 func (f *fixture) heartbeat(epoch uint64) {
 	f.seq++
@@ -190,9 +198,10 @@
 		again := f.take().Starts
 		Expect(again).To(HaveLen(1))
 		Expect(again[0].Ref).To(Equal(first.Ref))
-		f.now = f.now.Add(f.cfg.StartLimit.D() + time.Millisecond)
-		f.heartbeat(7)
-		f.table.Tick(f.now)
+		f.passHolding(f.cfg.StartLimit.D() - time.Millisecond)
+		Expect(f.take().Stops).To(BeEmpty())
+		f.hold(nil)
+		f.pass(2 * time.Millisecond)
 		e := f.take()
 		Expect(e.Stops).To(HaveLen(1))
 		Expect(ends(e)).To(BeEmpty())
@@ -206,6 +215,32 @@
 	})
 })
 
+var _ = Describe("an order that had no answer at first", func() {
+	It("is sealed, and not called not run, when its copy is refused", func() {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1))
+		first := f.take().Starts[0]
+		f.table.StartAnswered(f.now, first, runtable.StartUnknown)
+		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartUnhealthy)
+		e := f.take()
+		Expect(ends(e)).To(BeEmpty())
+		Expect(e.Stops).To(HaveLen(1))
+		f.table.StopAnswered(f.now, e.Stops[0], true)
+		f.hold(nil)
+		Expect(how(ends(f.take())[0])).To(Equal(wire.EndNotRun))
+	})
+
+	It("ends with the life of a backend server to which nothing can be connected", func() {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1))
+		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartDead)
+		e := f.take()
+		Expect(how(ends(e)[0])).To(Equal(wire.EndLost))
+		f.order(7, ref(1, 1))
+		Expect(ends(f.take())[0].Reason).To(Equal("not_ready"))
+	})
+})
+
 var _ = Describe("ends", func() {
 	run := func(f *fixture, refs ...wire.RunRef) {
 		f.order(7, refs...)
@@ -276,8 +311,7 @@
 		f := newFixture().ready()
 		f.order(7, ref(0, 1))
 		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
-		f.hold(nil)
-		f.pass(f.cfg.OwnerLease.D() + time.Millisecond)
+		f.passHolding(f.cfg.OwnerLease.D() + time.Millisecond)
 		Expect(f.take().Stops).To(HaveLen(1))
 		f.hold(nil)
 		f.pass(f.cfg.StopGrace.D())
@@ -304,6 +338,69 @@
 	})
 })
 
+var _ = Describe("a backend server that is silent", func() {
+	// running has one run and one that waits, and a server that has just answered.
+	running := func() *fixture {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1), ref(1, 1), ref(2, 1))
+		for _, c := range f.take().Starts {
+			f.table.StartAnswered(f.now, c, runtable.StartAccepted)
+		}
+		f.hold(nil)
+		f.take()
+		return f
+	}
+	silence := func(f *fixture) time.Duration { return f.cfg.Core().Silence }
+
+	It("gets no new tasks, and what waits there is handed back", func() {
+		f := running()
+		f.pass(silence(f) + time.Millisecond)
+		e := f.take()
+		Expect(ends(e)).To(HaveLen(1))
+		Expect(ends(e)[0].Ref).To(Equal(ref(2, 1)))
+		Expect(how(ends(e)[0])).To(Equal(wire.EndNotRun))
+		f.order(7, ref(3, 1))
+		Expect(ends(f.take())[0].Reason).To(Equal("not_ready"))
+		f.hold(nil)
+		f.heartbeat(7)
+		f.order(7, ref(4, 1))
+		Expect(ends(f.take())).To(BeEmpty(), "it answers again")
+	})
+
+	It("is sent no order again until it answers", func() {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1))
+		first := f.take().Starts[0]
+		f.pass(silence(f) + time.Millisecond)
+		f.table.StartAnswered(f.now, first, runtable.StartUnknown)
+		f.pass(f.cfg.StartLimit.D() - silence(f))
+		e := f.take()
+		Expect(e.Starts).To(BeEmpty())
+		Expect(e.Stops).To(BeEmpty())
+		f.hold(nil)
+		Expect(f.take().Starts).To(HaveLen(1))
+	})
+
+	It("has its lease renewed no further, and its runs end as soon as it is over", func() {
+		f := running()
+		last, ok := f.table.NextHold(f.now)
+		Expect(ok).To(BeTrue())
+		f.pass(silence(f) + time.Millisecond)
+		again, ok := f.table.NextHold(f.now)
+		Expect(ok).To(BeTrue())
+		Expect(again.Deadline).To(Equal(last.Deadline))
+		f.take()
+		f.pass(time.Duration(float64(f.cfg.HoldLease)*1.02) - silence(f) - 10*time.Millisecond)
+		Expect(ends(f.take())).To(BeEmpty(), "they may run until then")
+		f.pass(100 * time.Millisecond)
+		var lapsed []wire.End
+		for _, e := range ends(f.take()) {
+			lapsed = append(lapsed, how(e))
+		}
+		Expect(lapsed).To(Equal([]wire.End{wire.EndLapsed, wire.EndLapsed}))
+	})
+})
+
 var _ = Describe("a process after another", func() {
 	It("takes a fencing token above that of the earlier one", func() {
 		f := newFixture()
--- /dev/null
+++ b/runtable/silence.go
@@ -0,0 +1,55 @@
+package runtable
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// checkSilence notes whether the backend server answers. While it does not, it
+// gets no new tasks, those that wait here are handed back, and its lease is not
+// renewed any further, so that what it runs is known to be dead as soon as can
+// be.
+func (t *Table) checkSilence(now time.Time) {
+	silent := t.known && t.firstHold && now.Sub(t.clockAt) > t.cfg.Silence
+	if silent == t.silent {
+		return
+	}
+	t.silent = silent
+	t.touchAll()
+	if !silent {
+		t.note("backend_answers", wire.RunRef{}, "")
+		t.repeatCalls(now)
+		return
+	}
+	t.note("backend_silent", wire.RunRef{}, "no_answer")
+	t.handBackWaiting(now)
+}
+
+// repeatCalls makes the calls again that had no answer in the silence.
+func (t *Table) repeatCalls(now time.Time) {
+	for _, ref := range t.refs() {
+		switch r := t.runs[ref]; r.state {
+		case runStarting:
+			t.sendStart(now, r)
+		case runStopping:
+			t.sendStop(r)
+		}
+	}
+}
+
+func (t *Table) handBackWaiting(now time.Time) {
+	for _, r := range t.waiting {
+		delete(t.runs, r.order.Ref)
+		t.endRun(now, r, wire.EndNotRun, "backend_silent")
+	}
+	t.waiting = nil
+}
+
+// lapseSilent lets the lease of a silent backend server lapse once the last
+// renewal is over for certain.
+func (t *Table) lapseSilent(now time.Time) {
+	if t.silent && !t.lapsing && len(t.runs) > 0 && now.After(t.leaseEnds) {
+		t.lapse(now, "backend_silent")
+	}
+}
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -24,6 +24,7 @@
 	OwnerLease time.Duration // how long an owner's heartbeat holds
 	HoldLease  time.Duration // longest lease that the backend server grants
 	HoldRenew  time.Duration // longest wait of one HoldCall
+	Silence    time.Duration // without an answer after which the backend server is called silent
 	Drift      float64       // by how much the backend server's clock may run slow, such as 0.02
 	StartLimit time.Duration // after which an unanswered start is given up and sealed
 	MaxWaiting int           // runs that may wait for room
@@ -60,6 +61,8 @@
 	holdSeq   uint64
 	leaseEnds time.Time // when the backend server's lease is over for certain
 	lapsing   bool
+	silent    bool          // the backend server does not answer
+	granted   time.Duration // the end of the lease that was asked for last, on its clock
 	noRoomAt  time.Time
 
 	scopes map[scope]*ownership
@@ -124,6 +127,8 @@
 	started   time.Time
 	resolve   uint64 // a hold later than this one decides
 	stop      bool   // stop as soon as the start is answered
+	// unanswered is set when an order had no answer: it may be carried out late.
+	unanswered bool
 }
 
 // end is an end that the backend server remembers.
@@ -154,6 +159,7 @@
 	What   string
 	Ref    wire.RunRef
 	Reason string
+	Usual  bool // one of many in ordinary work or in one trouble
 }
 
 // New returns a table; now is when the process began.
@@ -182,6 +188,11 @@
 	t.effects.Notes = append(t.effects.Notes, Note{What: what, Ref: ref, Reason: reason})
 }
 
+// noteUsual notes a decision of which there may be many.
+func (t *Table) noteUsual(what string, ref wire.RunRef, reason string) {
+	t.effects.Notes = append(t.effects.Notes, Note{What: what, Ref: ref, Reason: reason, Usual: true})
+}
+
 func (t *Table) send(owner string, m wire.Message) {
 	t.effects.Sends = append(t.effects.Sends, Send{owner, m})
 }
@@ -229,6 +240,8 @@
 	t.seen, t.acked = 0, 0
 	t.token = 0
 	t.clock, t.clockAt = 0, time.Time{}
+	t.granted = 0
+	t.silent = false
 	t.firstHold = false
 	t.lapsing = false
 	t.known = false
@@ -333,7 +346,7 @@
 const noRoomPause = 20 * time.Millisecond
 
 func (t *Table) canStart() bool {
-	return t.known && t.identity.Ready && t.firstHold && !t.lapsing
+	return t.known && t.identity.Ready && t.firstHold && !t.lapsing && !t.silent
 }
 
 func (t *Table) sendStart(now time.Time, r *run) {
@@ -348,10 +361,14 @@
 }
 
 // deadline returns the end of a lease that begins now, on the backend server's
-// clock, and notes until when it may hold.
+// clock, and notes until when it may hold. That of a silent one is not renewed.
 func (t *Table) deadline(now time.Time) time.Duration {
+	if t.silent {
+		return t.granted
+	}
 	t.leaseEnds = now.Add(time.Duration(float64(t.cfg.HoldLease) * (1 + t.cfg.Drift)))
-	return t.clock + now.Sub(t.clockAt) + t.cfg.HoldLease
+	t.granted = t.clock + now.Sub(t.clockAt) + t.cfg.HoldLease
+	return t.granted
 }
 
 // tellStatus sends a status to the owners who want one.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -32,7 +32,7 @@
 		capacity = capacity * int64(n) / mostLooked
 	}
 	first := &j.tasks[0]
-	wait := c.workBefore(service, first.want) / (float64(capacity) / max(1, c.sharers[service]))
+	wait := c.workBefore(service, first.want()) / (float64(capacity) / max(1, c.sharers[service]))
 	return wait <= admitShare*float64(first.due.Sub(now))
 }
 
@@ -84,7 +84,7 @@
 func (c *Core) workBefore(service string, want time.Time) float64 {
 	work := 0.0
 	for _, t := range c.readyOf(service).onTime.tasks {
-		if !t.want.After(want) {
+		if !t.want().After(want) {
 			work += float64(t.step.Need.CPU) * float64(t.step.Estimate())
 		}
 	}
--- a/scheduler/besteffort.go
+++ b/scheduler/besteffort.go
@@ -111,7 +111,8 @@
 	for _, t := range claimed {
 		if t.worker == w && !known[t.ref()] {
 			c.note(Note{What: "run_absent", Task: t.id.String(), Run: t.run, Worker: w.name})
-			c.unassign(t)
+			c.mark(now, t.job, t.job.assigned, true)
+			c.unassign(now, t)
 			c.enqueue(now, t)
 		}
 	}
@@ -134,11 +135,11 @@
 // giveUp refuses best-effort jobs that have not begun in time.
 func (c *Core) giveUp(now time.Time) {
 	for _, j := range ordered.Values(c.bestEffort) {
-		if j.begun && now.After(j.useless) {
+		if j.begun() && now.After(j.useless) {
 			c.tooLate(now, j)
 			continue
 		}
-		if j.begun || now.Before(j.giveUp) {
+		if j.begun() || now.Before(j.giveUp) {
 			continue
 		}
 		c.note(Note{What: "job_given_up", Job: j.id, Number: now.Sub(j.received).Milliseconds()})
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -267,7 +267,7 @@
 	switch {
 	case j == nil:
 		c.fail(call, id, failure.JobNotFound)
-	case j.durable.Final() || !j.begun || budget <= 0:
+	case j.durable.Final() || !j.begun() || budget <= 0:
 		c.reply(Reply{Call: call, ID: id, State: j.shown()})
 	default:
 		j.watchers = append(j.watchers, watcher{call, now.Add(min(c.cfg.StateWait, budget/2))})
@@ -335,13 +335,13 @@
 func (c *Core) Waiting() map[string]uint32 {
 	counts := make(map[string]uint32)
 	for _, j := range c.bestEffort {
-		if !j.begun {
+		if !j.begun() {
 			counts[j.sub.Queue.Name]++
 		}
 	}
 	for _, p := range c.partitions {
 		for _, j := range p.jobs {
-			if j.sub != nil && j.kept && !j.begun && !j.state.Final() {
+			if j.sub != nil && j.kept && !j.begun() && !j.state.Final() {
 				counts[j.sub.Queue.Name]++
 			}
 		}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -13,16 +13,17 @@
 	t.worker = w
 	t.sentAt = now
 	t.startSeq = 0
-	c.begin(t.job)
+	c.mark(now, t.job, t.job.assigned+1, t.job.ran)
 	w.assigned[t] = struct{}{}
 }
 
-func (c *Core) unassign(t *task) {
+func (c *Core) unassign(now time.Time, t *task) {
 	if t.worker == nil {
 		return
 	}
 	delete(t.worker.assigned, t)
 	t.worker = nil
+	c.mark(now, t.job, t.job.assigned-1, t.job.ran)
 	if t.state == taskAssigned {
 		t.state = taskBlocked
 	}
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -41,7 +41,8 @@
 		return
 	}
 	c.unqueue(t)
-	c.unassign(t)
+	c.mark(now, j, j.assigned, j.ran || wire.End(e.How) != wire.EndNotRun)
+	c.unassign(now, t)
 	t.run = max(t.run, e.Ref.Run)
 	c.apply(now, w, t, e)
 }
@@ -96,7 +97,7 @@
 func (c *Core) apply(now time.Time, w *worker, t *task, e *wire.RunEnd) {
 	how := wire.End(e.How)
 	j := t.job
-	c.note(Note{What: "run_ended", Task: t.id.String(), Run: t.run, Worker: w.name, Reason: how.String() + " " + e.Reason, Number: e.RunMS, Usual: how == wire.EndDone})
+	c.note(Note{What: "run_ended", Task: t.id.String(), Run: t.run, Worker: w.name, Reason: how.String() + " " + e.Reason, Number: e.RunMS, Usual: how == wire.EndDone || how == wire.EndNotRun})
 	if e.Checkpoint != "" {
 		t.check = e.Checkpoint
 	}
@@ -166,7 +167,7 @@
 		c.unqueue(t)
 		if t.state == taskAssigned {
 			c.stop(t)
-			c.unassign(t)
+			c.unassign(now, t)
 		}
 	}
 	if j.sub.BestEffort {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -32,7 +32,6 @@
 	patience int    // how often it was stopped as a straggler
 	avoid    []string
 	check    string    // checkpoint
-	want     time.Time // order among those that are on time
 	due      time.Time // by when it has to begin to be on time
 	heap     *taskHeap
 	position int // in heap; -1 when it is in none
@@ -45,7 +44,8 @@
 	state    durable.State // as decided
 	durable  durable.State // as the store has it
 	kept     bool          // the submission is in the store
-	begun    bool
+	ran      bool          // a task has run, or may have
+	assigned int           // tasks that are with workers
 	tasks    []task
 	left     int // tasks that are not done
 	stepLeft []int
@@ -112,10 +112,19 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		t.due = j.due.Add(-chains[t.id.Step])
-		t.want = now.Add(t.due.Sub(now) / 2)
 	}
 }
 
+// want is the order of the tasks that are on time: what is left of jobs that
+// have begun first, in the order in which they came, then by the time halfway to
+// the due time.
+func (t *task) want() time.Time {
+	if t.job.begun() {
+		return t.job.received.Add(-begunFirst)
+	}
+	return t.job.received.Add(t.due.Sub(t.job.received) / 2)
+}
+
 // chainsAfter returns for each step the work from its start to the end of the
 // job, along the longest chain.
 func chainsAfter(steps []durable.Step) []time.Duration {
@@ -135,12 +144,16 @@
 	switch {
 	case j.durable.Final():
 		return j.durable
-	case j.begun:
+	case j.begun():
 		return durable.Running
 	}
 	return durable.Queued
 }
 
+// begun returns whether a task has run, or may run now. A job whose tasks were
+// all handed back has not.
+func (j *job) begun() bool { return j.ran || j.assigned > 0 }
+
 // nextRun returns the number of the task's next run. Numbers of a later owner
 // are above all that earlier ones used.
 func (t *task) nextRun(epoch uint64) uint32 {
@@ -196,7 +209,7 @@
 func (j *job) done(t *task) {
 	t.state = taskDone
 	t.worker = nil
-	j.begun = true
+	j.ran = true
 	j.left--
 	j.stepLeft[t.id.Step]--
 }
--- a/scheduler/partition.go
+++ b/scheduler/partition.go
@@ -104,20 +104,20 @@
 }
 
 // Release takes a partition from the core: another owner has it, or will.
-func (c *Core) Release(_ time.Time, number uint32, reason string) {
+func (c *Core) Release(now time.Time, number uint32, reason string) {
 	p := c.partitions[number]
 	if p == nil {
 		return
 	}
 	delete(c.partitions, number)
 	for _, j := range ordered.Values(p.jobs) {
-		c.drop(j)
+		c.drop(now, j)
 	}
 	c.note(Note{What: "partition_released", Reason: reason, Number: int64(number)})
 }
 
 // drop forgets a job of a partition that is given up.
-func (c *Core) drop(j *job) {
+func (c *Core) drop(now time.Time, j *job) {
 	for _, call := range append(j.calls, j.cancels...) {
 		if _, ok := c.callers[call]; ok {
 			c.fail(call, j.id, failure.CommitUnknown)
@@ -130,7 +130,7 @@
 	c.active--
 	for i := range j.tasks {
 		c.unqueue(&j.tasks[i])
-		c.unassign(&j.tasks[i])
+		c.unassign(now, &j.tasks[i])
 	}
 }
 
--- a/scheduler/ready.go
+++ b/scheduler/ready.go
@@ -13,7 +13,7 @@
 
 func newReadyQueue() *readyQueue {
 	return &readyQueue{
-		onTime: taskHeap{before: func(a, b *task) bool { return a.want.Before(b.want) }},
+		onTime: taskHeap{before: func(a, b *task) bool { return a.want().Before(b.want()) }},
 		late:   taskHeap{before: lateBefore},
 	}
 }
@@ -21,8 +21,8 @@
 // lateBefore puts jobs that have begun first: they hold work that is of no use
 // alone.
 func lateBefore(a, b *task) bool {
-	if a.job.begun != b.job.begun {
-		return a.job.begun
+	if begun := a.job.begun(); begun != b.job.begun() {
+		return begun
 	}
 	return a.due.Before(b.due)
 }
@@ -40,30 +40,31 @@
 // isLate returns whether the task should only have what room others leave. A
 // job that has begun is finished as long as its answer is of use.
 func (t *task) isLate(now time.Time) bool {
-	if t.job.begun {
+	if t.job.begun() {
 		return now.After(t.job.late)
 	}
 	return now.After(t.due)
 }
 
-// begin marks the job as begun; what is left of it comes first from now on.
-func (c *Core) begin(j *job) {
-	if j.begun {
+// mark sets how many of the job's tasks are with workers, and whether one has
+// run. What is left of a job has its place in the queue by whether it has begun.
+func (c *Core) mark(now time.Time, j *job, assigned int, ran bool) {
+	before := j.begun()
+	if (ran || assigned > 0) == before {
+		j.assigned, j.ran = assigned, ran
 		return
 	}
-	j.begun = true
-	j.hurry()
-}
-
-// hurry puts what is left of the job before all others.
-func (j *job) hurry() {
+	var queued []*task
 	for i := range j.tasks {
-		t := &j.tasks[i]
-		t.want = j.received.Add(-begunFirst)
-		if t.position >= 0 {
-			heap.Fix(t.heap, t.position)
+		if t := &j.tasks[i]; t.position >= 0 {
+			c.unqueue(t)
+			queued = append(queued, t)
 		}
 	}
+	j.assigned, j.ran = assigned, ran
+	for _, t := range queued {
+		c.readyOf(j.sub.Queue.Service).push(now, t)
+	}
 }
 
 // begunFirst puts the tasks of jobs that have begun before all others, in the
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -558,6 +558,22 @@
 		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.Overloaded)))
 	})
 
+	It("whose tasks were all handed back has not begun: it is refused as not run, and yields to others", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.core.Submit(f.now, 1, bestEffort(2), time.Second)
+		runs := f.orders(f.core.Take(f.now))
+		Expect(runs).To(HaveLen(2))
+		Expect(f.core.Waiting()).To(BeEmpty())
+		f.end(runs[0], wire.EndNotRun)
+		f.end(runs[1], wire.EndNotRun)
+		f.status("w1", -4000)
+		Expect(f.core.Take(f.now).Replies).To(BeEmpty())
+		Expect(f.core.Waiting()).To(HaveKeyWithValue("q", uint32(1)))
+		f.wait(450*time.Millisecond, "none")
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.Overloaded)))
+	})
+
 	It("that has begun and is of no use any more is ended", func() {
 		f := newFixture()
 		f.worker("w1")
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -205,7 +205,8 @@
 			continue
 		}
 		c.note(Note{What: "run_written_off", Task: t.id.String(), Run: t.run, Worker: w.name})
-		c.unassign(t)
+		c.mark(now, t.job, t.job.assigned, true)
+		c.unassign(now, t)
 		c.enqueue(now, t)
 	}
 }
@@ -236,7 +237,8 @@
 		}
 		if !t.job.sub.BestEffort && t.id.Job.Partition(c.cfg.Partitions) == m.Partition && !here[t.ref()] {
 			c.note(Note{What: "run_absent", Task: t.id.String(), Run: t.run, Worker: name})
-			c.unassign(t)
+			c.mark(now, t.job, t.job.assigned, true)
+			c.unassign(now, t)
 			c.enqueue(now, t)
 		}
 	}
--- a/worker/control.go
+++ b/worker/control.go
@@ -152,12 +152,21 @@
 	}
 	for _, n := range e.Notes {
 		w.metrics.Decision(n.What)
-		w.log.Info(n.What, zap.String("task", n.Ref.Task.String()), zap.Uint32("run", n.Ref.Run), zap.String("reason", n.Reason))
+		w.logNote(now, &n)
 	}
 }
 
+func (w *Worker) logNote(now time.Time, n *runtable.Note) {
+	fields := []zap.Field{zap.String("task", n.Ref.Task.String()), zap.Uint32("run", n.Ref.Run), zap.String("reason", n.Reason)}
+	if n.Usual {
+		w.log.Usual(now, n.What, fields...)
+		return
+	}
+	w.log.Info(n.What, fields...)
+}
+
 // callAgain is the pause after a call without an answer.
-const callAgain = 5 * time.Millisecond
+const callAgain = 20 * time.Millisecond
 
 func (w *Worker) start(c runtable.StartCall) {
 	ctx, cancel := context.WithTimeout(w.halt, w.cfg.Runs.CallLimit.D())
