scheduler, web, runtable: retry where runs fail least; one body reader, status apart

Change: what a worker's runs failed lately counts against it, and eight times as much for a task that has failed before.

--- a/coordinator/api.go
+++ b/coordinator/api.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -79,7 +75,7 @@
 }
 
 func (c *Coordinator) serveSubmit(ec echo.Context) error {
-	s, fail := c.readJob(ec.Request())
+	s, fail := c.readJob(ec)
 	if fail != nil {
 		return refuse(ec, fail)
 	}
@@ -110,21 +106,18 @@
 }
 
 func refuse(ec echo.Context, e *failure.Error) error {
-	if e.RetryAfter > 0 {
-		ec.Response().Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
+	web.SetRetryAfter(ec.Response().Header(), e.RetryAfter)
 	return ec.JSON(e.Kind.Row().Status, JobError{e.Kind.String(), e.Field, e.Reason, e.Allowed, e.RetryAfter.Milliseconds()})
 }
 
 // readJob reads and checks the body of a submission.
-func (c *Coordinator) readJob(r *http.Request) (*durable.Submission, *failure.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxJobBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, failure.InField(failure.TooLarge, "(body)", "too large", "at most 1 MiB")
+func (c *Coordinator) readJob(ec echo.Context) (*durable.Submission, *failure.Error) {
+	body, fail := web.ReadBody(ec.Response(), ec.Request(), maxJobBody)
+	if fail != nil {
+		return nil, fail
 	}
 	var j JobRequest
-	if err != nil || json.Unmarshal(body, &j) != nil {
+	if json.Unmarshal(body, &j) != nil {
 		return nil, failure.InField(failure.BadRequest, "(body)", "not a job", "a JSON object")
 	}
 	cfg := c.Configuration()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -55,10 +55,11 @@
 	joinAt    time.Time
 	leaving   bool
 
+	joinsFailed int // joins without success since the last with it
+
 	configuration atomic.Pointer[queues.Configuration]
 	waiting       atomic.Pointer[map[string]uint32] // waiting jobs of all coordinators
 	stopping      atomic.Bool
-	healthy       atomic.Bool // the store answers our joins
 	serving       atomic.Bool // there are workers that take tasks
 
 	peers    *peer.Listener
--- a/coordinator/owning.go
+++ b/coordinator/owning.go
@@ -74,11 +74,15 @@
 // joined takes the answer to a join.
 func (c *Coordinator) joined(now time.Time, ev event) {
 	if ev.err != nil {
-		if c.healthy.Swap(c.owned.Valid(now)) {
+		if c.joinsFailed++; c.joinsFailed == 1 {
 			c.log.Warn("join_failed", zap.Error(ev.err), zap.Duration("took", now.Sub(ev.sent)))
 		}
 		return
 	}
+	if c.joinsFailed > 0 {
+		c.log.Info("join_succeeds", zap.Int("failed_before", c.joinsFailed))
+		c.joinsFailed = 0
+	}
 	if c.leaving {
 		return
 	}
@@ -102,7 +106,6 @@
 // checkLease stops all work while our lease may be over.
 func (c *Coordinator) checkLease(now time.Time) {
 	valid := c.owned.Valid(now)
-	c.healthy.Store(valid || len(c.remote) > 0)
 	for p := range c.writers {
 		c.core.Suspend(now, p, !valid)
 	}
--- a/entry/api.go
+++ b/entry/api.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -78,13 +76,9 @@
 }
 
 func (e *Entry) read(c echo.Context) (*job.Submission, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, e.cfg.HTTP.MaxBody))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, failure.InField(failure.TooLarge, "(body)", "too large", "at most "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	case err != nil:
-		return nil, failure.InField(failure.BadRequest, "(body)", "broke off", "a whole JSON object")
+	body, fail := web.ReadBody(c.Response(), c.Request(), e.cfg.HTTP.MaxBody)
+	if fail != nil {
+		return nil, fail
 	}
 	r, err := job.Decode(body)
 	if err != nil {
@@ -113,9 +107,8 @@
 
 // respond writes the answer with the status and headers that its kind gives.
 func respond(c echo.Context, a *job.Answer) error {
-	if a.Error != nil && a.Error.RetryAfterMS > 0 {
-		seconds := (a.Error.RetryAfterMS + 999) / 1000
-		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	if a.Error != nil {
+		web.SetRetryAfter(c.Response().Header(), time.Duration(a.Error.RetryAfterMS)*time.Millisecond)
 	}
 	return c.JSON(a.Status(), a)
 }
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -197,10 +197,6 @@
 	t.effects.Sends = append(t.effects.Sends, Send{owner, m})
 }
 
-func (t *Table) stamp(now time.Time) int64 {
-	return max(1, now.Sub(t.epoch).Microseconds())
-}
-
 // Identity returns the life that the table speaks of.
 func (t *Table) Identity() Identity { return t.identity }
 
@@ -249,12 +245,6 @@
 	t.touchAll()
 }
 
-func (t *Table) touchAll() {
-	for _, o := range t.owners {
-		o.dirty = true
-	}
-}
-
 // endRun tells the owner of an end that the backend server does not list.
 func (t *Table) endRun(now time.Time, r *run, how wire.End, reason string) {
 	p := t.scopes[r.scope]
@@ -370,33 +360,3 @@
 	t.granted = t.clock + now.Sub(t.clockAt) + t.cfg.HoldLease
 	return t.granted
 }
-
-// tellStatus sends a status to the owners who want one.
-func (t *Table) tellStatus(now time.Time) {
-	for _, name := range ordered.Keys(t.owners) {
-		o := t.owners[name]
-		if !o.dirty {
-			continue
-		}
-		o.dirty = false
-		t.send(name, t.status(now, o))
-	}
-}
-
-func (t *Table) status(now time.Time, o *owner) *wire.WorkerStatus {
-	s := &wire.WorkerStatus{
-		Stamp:        t.stamp(now),
-		HeartbeatSeq: o.heartbeatSeq,
-		StartSeq:     o.startSeq,
-		Ready:        t.canStart(),
-		Free:         t.free(),
-		Waiting:      uint32(len(t.waiting)),
-		Fenced:       o.fenced,
-	}
-	o.fenced = nil
-	if !o.identified {
-		o.identified = true
-		s.Identity = t.identity.told()
-	}
-	return s
-}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -104,6 +104,11 @@
 	scoreHome  = 0.6  // a home worker: what is free there is known best
 	scoreRack  = 2.0  // near the task's data
 	overcommit = 0.06 // share of the capacity that may wait at a worker
+
+	// What the share of failed runs at a worker takes away: for a task that has
+	// failed before, more than anything but room can add.
+	scoreFailing      = 1.0
+	scoreFailingAgain = 8.0
 )
 
 func (c *Core) score(t *task, cand *candidate, wait bool) (score float64, ok bool) {
@@ -128,6 +133,11 @@
 	if cand.w.preference == Home {
 		score += scoreHome
 	}
+	if len(t.failures) > 0 {
+		score -= scoreFailingAgain * cand.w.judge.failing
+	} else {
+		score -= scoreFailing * cand.w.judge.failing
+	}
 	if cand.w.dataCentre == c.cfg.DataCentre {
 		score += scoreNear
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -85,6 +85,12 @@
 	}
 }
 
+func bestEffort(n uint32) *durable.Submission {
+	s := job(tasks(n))
+	s.BestEffort = true
+	return s
+}
+
 func tasks(n uint32) durable.Step {
 	return durable.Step{Count: n, Need: durable.Resources{CPU: 1000, Memory: 10}, EstimateMS: 100}
 }
@@ -436,12 +442,6 @@
 })
 
 var _ = Describe("a best-effort job", func() {
-	bestEffort := func(n uint32) *durable.Submission {
-		s := job(tasks(n))
-		s.BestEffort = true
-		return s
-	}
-
 	It("needs no store, and is answered with its end", func() {
 		f := newFixture()
 		f.worker("w1")
@@ -659,6 +659,35 @@
 		Expect(served["bad"]).To(BeNumerically("<", served["good"]/4))
 	})
 
+	It("runs a task that has failed where runs fail least, though more is free elsewhere", func() {
+		f := newFixture()
+		f.worker("first")
+		f.worker("failing")
+		f.worker("sound")
+		runAt := func(home string, i int) sent {
+			for _, name := range []string{"first", "failing", "sound"} {
+				f.core.Prefer(name, scheduler.Shared)
+			}
+			f.core.Prefer(home, scheduler.Home)
+			s := bestEffort(1)
+			s.ID = durable.JobID(fmt.Sprintf("%016x", i))
+			f.core.Submit(f.now, scheduler.Call(i), s, 0)
+			runs := f.orders(f.core.Take(f.now))
+			Expect(runs).To(HaveLen(1))
+			Expect(runs[0].worker).To(Equal(home))
+			return runs[0]
+		}
+		f.end(runAt("failing", 1), wire.EndFailed)
+		f.core.Abandon(f.now, 1, "0000000000000001")
+		f.core.Take(f.now)
+		f.end(runAt("first", 2), wire.EndFailed)
+		f.status("failing", 4000)
+		f.status("sound", 1500)
+		again := f.orders(f.core.Take(f.now))
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].worker).To(Equal("sound"))
+	})
+
 	It("stops a run that takes far longer than it should, and starts it elsewhere", func() {
 		f := newFixture()
 		f.worker("w1")
