runtable, scheduler: let the worker stop stragglers, from their start; log what decided

Cause: a run's time was counted from its order, at the coordinator. Each such stop also counted against the worker. Ruled out: a longer limit, which would hide runs that do hang.

Change: orders carry the limit; the worker, which knows when a run began, stops what is over it and says so by an end of its own (straggled). The coordinator no longer goes through all tasks of all workers fifty times a second. Refusals on arrival are logged with the wait that was expected and the one allowed; the loss of a backend server has its line.

--- a/coordinator/control.go
+++ b/coordinator/control.go
@@ -140,7 +140,7 @@
 
 func (c *Coordinator) logNote(now time.Time, n *scheduler.Note) {
 	c.metrics.Decision(n.What)
-	fields := make([]zap.Field, 0, 6)
+	fields := make([]zap.Field, 0, 8)
 	if n.Job != "" {
 		fields = append(fields, zap.String("job", string(n.Job)))
 	}
@@ -156,6 +156,9 @@
 	if n.Number != 0 {
 		fields = append(fields, zap.Int64("number", n.Number))
 	}
+	if n.Bound != 0 {
+		fields = append(fields, zap.Int64("bound", n.Bound))
+	}
 	if n.Usual {
 		c.log.Usual(now, n.What, fields...)
 		return
--- a/runtable/answers.go
+++ b/runtable/answers.go
@@ -207,6 +207,9 @@
 	if r := t.runs[l.Ref]; r != nil {
 		e.scope = r.scope
 		e.told.RunMS = r.age(now)
+		if r.straggled && l.How == wire.EndStopped {
+			e.told.How = uint8(wire.EndStraggled)
+		}
 		delete(t.runs, l.Ref)
 		t.touchAll()
 	}
--- a/runtable/lapse.go
+++ b/runtable/lapse.go
@@ -14,6 +14,7 @@
 	t.lapseSilent(now)
 	t.finishLapse(now)
 	t.giveUpStarts(now)
+	t.stopStragglers(now)
 	for ref, e := range t.recent {
 		if now.Sub(e.at) > recentFor {
 			delete(t.recent, ref)
@@ -142,3 +143,18 @@
 		}
 	}
 }
+
+// stopStragglers stops runs that are over their limit, so that they can be
+// started elsewhere.
+func (t *Table) stopStragglers(now time.Time) {
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
+		limit := time.Duration(r.order.LimitMS) * time.Millisecond
+		if r.state != runRunning || limit == 0 || now.Sub(r.started) <= limit {
+			continue
+		}
+		t.note("straggler_stopped", ref, limit.String())
+		r.straggled = true
+		t.sendStop(r)
+	}
+}
--- a/runtable/table.go
+++ b/runtable/table.go
@@ -129,6 +129,7 @@
 	stop      bool   // stop as soon as the start is answered
 	// unanswered is set when an order had no answer: it may be carried out late.
 	unanswered bool
+	straggled  bool // was stopped since it was over its limit
 }
 
 // end is an end that the backend server remembers.
@@ -226,6 +227,7 @@
 
 // lifeOver ends all runs: the process that ran them is gone.
 func (t *Table) lifeOver(now time.Time, reason string) {
+	t.note("backend_lost", wire.RunRef{}, reason)
 	for _, ref := range t.refs() {
 		r := t.runs[ref]
 		t.endRun(now, r, wire.EndLost, reason)
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -9,9 +9,10 @@
 // admitShare is the share of its slack that a job may be thought to wait.
 const admitShare = 0.5
 
-// admit returns whether a best-effort job can be thought to begin in time. It
-// is refused at once otherwise, unless there is room for it now.
-func (c *Core) admit(now time.Time, j *job) bool {
+// admit returns whether a best-effort job can be thought to begin in time, with
+// how long it would wait and how long it may. It is refused at once otherwise,
+// unless there is room for it now.
+func (c *Core) admit(now time.Time, j *job) (wait, bound time.Duration, ok bool) {
 	service := j.sub.Queue.Service
 	need, tasks := firstTasks(j)
 	var capacity, room int64
@@ -20,20 +21,22 @@
 		room += need.Times(cand.free)
 	}
 	if c.someUnknown(now) || c.serving(now) == 0 && c.Serving(now) {
-		return true // it waits its time for those who may come
+		return 0, 0, true // it waits its time for those who may come
 	}
 	if capacity == 0 {
-		return false
+		return 0, 0, false
 	}
 	if tasks <= room {
-		return true
+		return 0, 0, true
 	}
 	if n := len(c.chosen); n > mostLooked {
 		capacity = capacity * int64(n) / mostLooked
 	}
 	first := &j.tasks[0]
-	wait := c.workBefore(service, first.want()) / (float64(capacity) / max(1, c.sharers[service]))
-	return wait <= admitShare*float64(first.due.Sub(now))
+	ours := float64(capacity) / max(1, c.sharers[service])
+	wait = time.Duration(c.workBefore(service, first.want()) / ours)
+	bound = time.Duration(admitShare * float64(first.due.Sub(now)))
+	return wait, bound, wait <= bound
 }
 
 // comingUp is how long a connected worker may take to say what it has.
--- a/scheduler/besteffort.go
+++ b/scheduler/besteffort.go
@@ -26,7 +26,8 @@
 		return
 	}
 	j := newJob(s, now)
-	if !c.admit(now, j) {
+	if wait, bound, ok := c.admit(now, j); !ok {
+		c.note(Note{What: "job_refused", Job: s.ID, Reason: "wait_too_long", Number: wait.Milliseconds(), Bound: bound.Milliseconds()})
 		c.fail(call, s.ID, failure.Overloaded)
 		return
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -86,7 +86,8 @@
 	Worker string
 	Reason string
 	Number int64
-	Usual  bool // one of many in ordinary work
+	Bound  int64 // what Number was compared with; 0 if with nothing
+	Usual  bool  // one of many in ordinary work
 }
 
 // Effects is what has to be done.
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -115,6 +115,7 @@
 		DueMS:      t.due.Sub(now).Milliseconds(),
 		Checkpoint: t.check,
 		MayWait:    waits,
+		LimitMS:    c.limitOf(t).Milliseconds(),
 	})
 	c.note(Note{What: "run_ordered", Task: t.id.String(), Run: t.run, Worker: w.name, Number: now.Sub(t.job.received).Milliseconds(), Usual: true})
 }
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -113,6 +113,11 @@
 		} else {
 			c.enqueue(now, t)
 		}
+	case wire.EndStraggled:
+		w.judge.ran(slowness(t, e.RunMS))
+		t.patience++
+		t.avoid = append(t.avoid, w.name)
+		c.enqueue(now, t)
 	default:
 		if how == wire.EndNotRun {
 			w.fullUntil = now.Add(fullPause)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -187,9 +187,6 @@
 		if !w.up && len(w.assigned) > 0 {
 			c.writeOff(now, w)
 		}
-		if w.up {
-			c.stopStragglers(now, w)
-		}
 	}
 }
 
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -75,6 +75,7 @@
 	// MayWait lets the run wait at the worker until it fits. One that may not is
 	// handed back at once if it does not fit, since there may be room elsewhere.
 	MayWait bool
+	LimitMS int64 // a run that takes longer is a straggler, and stopped; 0 sets no limit
 }
 
 // End says how a run ended.
@@ -82,12 +83,13 @@
 
 // The ends of runs.
 const (
-	EndDone    End = 1
-	EndFailed  End = 2 // by its own fault or the backend server's
-	EndStopped End = 3 // on our order
-	EndLapsed  End = 4 // its lease was not renewed
-	EndLost    End = 5 // the backend server's life is over
-	EndNotRun  End = 6 // it never began and never will
+	EndDone      End = 1
+	EndFailed    End = 2 // by its own fault or the backend server's
+	EndStopped   End = 3 // on our order
+	EndLapsed    End = 4 // its lease was not renewed
+	EndLost      End = 5 // the backend server's life is over
+	EndNotRun    End = 6 // it never began and never will
+	EndStraggled End = 7 // stopped by the worker, since it was over its limit
 )
 
 // String returns the end's name.
@@ -103,6 +105,8 @@
 		return "lapsed"
 	case EndLost:
 		return "lost"
+	case EndStraggled:
+		return "straggled"
 	}
 	return "not_run"
 }
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -1090,8 +1090,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	// array header, size 2
 	o = append(o, 0x92)
 	o, err = z.Ref.Task.MarshalMsg(o)
@@ -1112,6 +1112,7 @@
 	o = msgp.AppendInt64(o, z.DueMS)
 	o = msgp.AppendString(o, z.Checkpoint)
 	o = msgp.AppendBool(o, z.MayWait)
+	o = msgp.AppendInt64(o, z.LimitMS)
 	return
 }
 
@@ -1123,8 +1124,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1187,13 +1188,18 @@
 		err = msgp.WrapError(err, "MayWait")
 		return
 	}
+	z.LimitMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LimitMS")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunOrder) Msgsize() (s int) {
-	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Spec) + z.Need.Msgsize() + msgp.Int32Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.BoolSize
+	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Spec) + z.Need.Msgsize() + msgp.Int32Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.BoolSize + msgp.Int64Size
 	return
 }
 
