platform, fakebackend: soak the real programs, harmed from outside

Change: TestSoak in platform/. Three coordinators and four workers as processes; the stand-ins of store and executors, and clients that keep their connections, in the test. Judged by what clients and executors saw: no task twice at once, none after its noted end, nothing started that was refused each time, accepted jobs completed and staying so, completed jobs with all tasks done, no process that ends by itself.

The programs themselves did not change.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unversioned)
 
-.PHONY: build test lint dev bench baseline compare capacity soak random mutants fuzz docs generate
+.PHONY: build test lint dev bench baseline compare capacity soak soak-jobs random mutants fuzz docs generate
 
 build: ## build bin/lichenfall
 	$(GO) build -trimpath -ldflags "-X github.com/lichenfall/lichenfall/commands.version=$(VERSION)" -o bin/lichenfall .
@@ -31,6 +31,11 @@
 soak: build ## ten minutes of real processes under kills and pauses
 	$(GO) test -tags soak ./soak -run TestSoak -v -count=1 -timeout 30m -args -soak.duration 10m
 
+SEEDS ?= 50
+FIRST ?= 1
+soak-jobs: build ## coordinators and workers as processes, harmed from outside; SEEDS cases from FIRST on
+	LICHENFALL_SOAK_SEEDS=$(SEEDS) LICHENFALL_SOAK_FIRST=$(FIRST) $(GO) test ./platform -run TestSoak -v -count=1 -timeout 60m
+
 random: ## 200,000 randomised cases
 	LICHENFALL_CASES=200000 $(GO) test ./dispatch -run TestRandomised -v
 
--- a/fakebackend/leased.go
+++ b/fakebackend/leased.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,10 +30,30 @@
 	ended    []runtable.ListedEnd
 	numbers  uint64
 	starts   map[durable.TaskID]int
+	journal  []LeasedRun
 }
 
 type leasedRun struct {
-	ends time.Time
+	ends  time.Time
+	entry int // in the journal
+}
+
+// LeasedRun is one run that a Leased carried out.
+type LeasedRun struct {
+	Ref    wire.RunRef
+	Began  time.Time
+	Ended  time.Time // zero while it runs
+	How    wire.End  // once it has ended
+	Number uint64    // of its end
+	Noted  time.Time // when the worker was done with its end; zero before, and if the lease lapsed in between
+}
+
+// Journal returns all runs of its life, in the order of their starts.
+func (l *Leased) Journal() []LeasedRun {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle()
+	return slices.Clone(l.journal)
 }
 
 // holdStep is how often a hold that waits looks for ends.
@@ -75,18 +96,33 @@
 
 // settle ends what has ended by now.
 func (l *Leased) settle() {
-	lapsed := l.clock() > l.deadline
+	over := l.born.Add(l.deadline) // the lease
 	for ref, r := range l.running {
 		switch {
-		case lapsed:
-			l.end(ref, wire.EndLapsed)
-		case !time.Now().Before(r.ends):
-			l.end(ref, wire.EndDone)
+		case !time.Now().Before(r.ends) && !over.Before(r.ends):
+			l.end(ref, wire.EndDone, r.ends)
+		case time.Now().After(over):
+			l.end(ref, wire.EndLapsed, over)
+		}
+	}
+	if time.Now().After(over) {
+		l.forgetNumbers()
+	}
+}
+
+// forgetNumbers takes what has ended so far out of what can be noted: that an
+// end is acknowledged after the lease has lapsed says nothing.
+func (l *Leased) forgetNumbers() {
+	for i := range l.journal {
+		if e := &l.journal[i]; e.Noted.IsZero() {
+			e.Number = 0
 		}
 	}
 }
 
-func (l *Leased) end(ref wire.RunRef, how wire.End) {
+func (l *Leased) end(ref wire.RunRef, how wire.End, at time.Time) {
+	entry := &l.journal[l.running[ref].entry]
+	entry.Ended, entry.How, entry.Number = at, how, l.numbers+1
 	delete(l.running, ref)
 	l.newest[ref.Task] = max(l.newest[ref.Task], ref.Run)
 	l.numbers++
@@ -112,7 +148,9 @@
 	}
 	l.token = c.Token
 	l.deadline = max(l.deadline, c.Deadline)
-	l.running[c.Ref] = leasedRun{ends: time.Now().Add(l.Work)}
+	now := time.Now()
+	l.running[c.Ref] = leasedRun{ends: now.Add(l.Work), entry: len(l.journal)}
+	l.journal = append(l.journal, LeasedRun{Ref: c.Ref, Began: now})
 	l.starts[c.Ref.Task]++
 	return runtable.StartAccepted
 }
@@ -128,7 +166,7 @@
 	defer l.mu.Unlock()
 	l.settle()
 	if l.holds(c.Ref) {
-		l.end(c.Ref, wire.EndStopped)
+		l.end(c.Ref, wire.EndStopped, time.Now())
 	}
 	l.newest[c.Ref.Task] = max(l.newest[c.Ref.Task], c.Ref.Run)
 	return true
@@ -146,6 +184,14 @@
 	}
 }
 
+func (l *Leased) noted(number uint64) {
+	for i := range l.journal {
+		if e := &l.journal[i]; e.Number == number && number > 0 {
+			e.Noted = time.Now()
+		}
+	}
+}
+
 // look returns the lists, and whether there is an end that was not seen.
 func (l *Leased) look(c runtable.HoldCall) (a runtable.HoldAnswer, news bool) {
 	l.mu.Lock()
@@ -157,6 +203,7 @@
 	l.token = c.Token
 	l.deadline = max(l.deadline, c.Deadline)
 	for len(l.ended) > 0 && l.ended[0].Number <= c.LastSeen {
+		l.noted(l.ended[0].Number)
 		l.ended = l.ended[1:]
 	}
 	a = runtable.HoldAnswer{Result: runtable.HoldOK, Clock: l.clock()}
