coordinator: load no partition before the workers have been read

With no worker known there was nobody to ask what runs; the partition counted as settled at once, and tasks whose ends a worker still held were ordered again: a run began after the end of another was noted.

Change: a partition is read only once the registered processes have been read, and an empty list counts as read.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,8 @@
 	halt     context.Context
 	end      context.CancelFunc
 	kick     chan struct{}
+	// membersRead is closed when the registered processes have been read once.
+	membersRead chan struct{}
 }
 
 const (
@@ -96,6 +99,8 @@
 		counts:    make(map[string]map[string]uint32),
 		told:      &wire.QueueCounts{},
 		kick:      make(chan struct{}, 1),
+
+		membersRead: make(chan struct{}),
 	}
 	c.peerOpts = peer.Options{
 		MaxFrame:     cfg.Peers.MaxFrame,
@@ -113,12 +118,21 @@
 	go c.loop.Run(c.halt.Done(), tickEvery, loop.Steps[event]{Handle: c.handle, Tick: c.tick, Perform: c.perform})
 	go c.keepJoining()
 	go c.register()
-	go s.Members(c.halt, func(m []store.Member) { c.loop.Post(event{kind: evMembers, members: m}) })
+	go c.followMembers()
 	go s.Configurations(c.halt, c.configure)
 	log.Info("coordinator_started", zap.String("member", c.member), zap.String("peers", c.address()))
 	return c, nil
 }
 
+// followMembers tells the control goroutine of the registered processes.
+func (c *Coordinator) followMembers() {
+	var first sync.Once
+	c.store.Members(c.halt, func(m []store.Member) {
+		c.loop.Post(event{kind: evMembers, members: m})
+		first.Do(func() { close(c.membersRead) })
+	})
+}
+
 // configure puts a configuration in force unless a newer one is.
 func (c *Coordinator) configure(cfg *queues.Configuration) {
 	old := c.configuration.Load()
--- a/coordinator/owning.go
+++ b/coordinator/owning.go
@@ -133,9 +133,14 @@
 	go c.read(ctx, partition, epoch)
 }
 
-// read fences earlier owners and reads what they left.
+// read fences earlier owners and reads what they left, once it is known which
+// workers there are: they have to be asked what they run of it.
 func (c *Coordinator) read(ctx context.Context, partition uint32, epoch uint64) {
 	const again = 50 * time.Millisecond
+	select {
+	case <-c.membersRead:
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil {
 		records, err := c.readOnce(ctx, partition, epoch)
 		if err == nil {
--- a/fakebackend/leased.go
+++ b/fakebackend/leased.go
@@ -147,7 +147,7 @@
 		return runtable.StartLate
 	}
 	l.token = c.Token
-	l.deadline = max(l.deadline, c.Deadline)
+	l.extend(c.Deadline)
 	now := time.Now()
 	l.running[c.Ref] = leasedRun{ends: now.Add(l.Work), entry: len(l.journal)}
 	l.journal = append(l.journal, LeasedRun{Ref: c.Ref, Began: now})
@@ -155,6 +155,13 @@
 	return runtable.StartAccepted
 }
 
+// mostLease is the longest lease that is granted; a longer one is cut to it.
+const mostLease = time.Second
+
+func (l *Leased) extend(deadline time.Duration) {
+	l.deadline = max(l.deadline, min(deadline, l.clock()+mostLease))
+}
+
 func (l *Leased) holds(ref wire.RunRef) bool {
 	_, ok := l.running[ref]
 	return ok
@@ -201,7 +208,7 @@
 		return runtable.HoldAnswer{Result: runtable.HoldFenced, Clock: l.clock()}, true
 	}
 	l.token = c.Token
-	l.deadline = max(l.deadline, c.Deadline)
+	l.extend(c.Deadline)
 	for len(l.ended) > 0 && l.ended[0].Number <= c.LastSeen {
 		l.noted(l.ended[0].Number)
 		l.ended = l.ended[1:]
--- a/fakestore/store.go
+++ b/fakestore/store.go
@@ -20,6 +20,7 @@
 	changed       chan struct{} // closed and replaced at each change
 	refusing      bool
 	losing        bool
+	hidden        bool // the registered processes cannot be read
 }
 
 var _ store.Store = (*Store)(nil)
@@ -47,6 +48,14 @@
 	s.losing = lose
 }
 
+// HideMembers makes the registered processes unreadable, or readable again.
+func (s *Store) HideMembers(hide bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hidden = hide
+	s.change()
+}
+
 // Configure puts a configuration in force.
 func (s *Store) Configure(c *queues.Configuration) {
 	s.mu.Lock()
@@ -141,6 +150,9 @@
 // Members implements store.Store.
 func (s *Store) Members(ctx context.Context, f func([]store.Member)) {
 	s.follow(ctx, func() func() {
+		if s.hidden {
+			return func() {}
+		}
 		members := s.state.Registered()
 		return func() { f(members) }
 	})
--- a/local/jobs_test.go
+++ b/local/jobs_test.go
@@ -126,6 +126,26 @@
 		}
 	})
 
+	It("take no partition over before they know whom to ask what runs", func() {
+		s := startJobs(3 * time.Second)
+		for n := range 8 { // of all partitions, most likely
+			s.submit(0, jobOf(n, false, 2))
+		}
+		for i := range 3 {
+			s.StopCoordinator(i, true)
+		}
+		s.Store.HideMembers(true)
+		Expect(s.AddCoordinator()).To(Succeed())
+		Consistently(func() int {
+			status, _ := s.call(http.MethodGet, 3, "/v1/jobs/"+fmt.Sprintf("%016x", 0), nil)
+			return status
+		}).WithTimeout(2 * time.Second).Should(Equal(http.StatusServiceUnavailable)) // the former owners' time is over by then
+		s.Store.HideMembers(false)
+		for n := range 8 {
+			s.becomes(3, fmt.Sprintf("%016x", n), "completed")
+		}
+	})
+
 	It("go on with what runs when a worker is replaced", func() {
 		s := startJobs(300 * time.Millisecond)
 		for n := range 12 {
