peer: count what is being written as not yet flushed

Flush waited for an empty queue, but the writer empties it before it writes: an agent whose writer was held up closed its connections with results unwritten. The comment on swap said otherwise. Ruled out: an agent taken for silent (that is another reason), a stop that ran out of time (it is logged).

Change: what was taken from the queue counts until the next look at it.

The fault is as old as Flush; coordinators and workers do not flush.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -112,10 +112,11 @@
 	r    *bufio.Reader
 	peer *wire.Hello
 
-	mu     sync.Mutex
-	queue  []wire.Message
-	closed bool
-	cause  error
+	mu      sync.Mutex
+	queue   []wire.Message
+	writing bool // what was taken from the queue last is not yet written
+	closed  bool
+	cause   error
 
 	wake chan struct{}
 	done chan struct{}
@@ -184,7 +185,7 @@
 func (c *Conn) pending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue) > 0 && !c.closed
+	return (len(c.queue) > 0 || c.writing) && !c.closed
 }
 
 func (c *Conn) serve(hello *wire.Hello, h Handler) error {
@@ -254,6 +255,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	batch := c.queue
+	c.writing = len(batch) > 0
 	c.queue = old[:0]
 	return batch
 }
