runtable, scheduler: order nothing beside a run whose need is not known

Cause: a worker that finds runs of an earlier process does not know what they take. It counted each as a tenth of the backend server and ordered the rest out; a run may take nearly all of it.

Ruled out: the run number as a carrier of the need (32 bits hold no epoch, number, cores and memory together, and callers' tools would see it); stopping what is found (every restart of a worker would throw away its work); the rough figure of cores in use that backend servers may tell (no bound, and late).

Change: while the need of one run is unknown, all of the backend server counts as taken. The run's owner tells the need (new message run_needs) as soon as the worker lists the run to it, which it does with the first heartbeat; a run that nobody asks about is stopped after runs.first_lease, as before. The same for memory and accelerators, which the guess left out.

The random world now has backend servers that do not guard, and stops that take time.

--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -37,6 +37,7 @@
 	need    durable.Resources
 	ends    time.Time
 	fails   bool
+	stopped bool // its stop is under way: it still takes room
 	started time.Time
 }
 
@@ -104,9 +105,12 @@
 		if b.w.now.Before(r.ends) {
 			continue
 		}
-		if r.fails {
+		switch {
+		case r.stopped:
+			b.end(ref, wire.EndStopped)
+		case r.fails:
 			b.end(ref, wire.EndFailed)
-		} else {
+		default:
 			b.end(ref, wire.EndDone)
 		}
 	}
@@ -156,12 +160,11 @@
 		b.w.broken("%v was started, and nobody sent it", c.Ref.Task)
 		return runtable.StartInvalid
 	}
-	used := durable.Resources{}
-	for _, r := range b.running {
-		used = used.Add(r.need)
-	}
 	need := j.submission.Steps[c.Ref.Task.Step].Need
-	if !need.Fits(b.capacity.Sub(used)) {
+	if room := b.room(); !need.Fits(room) {
+		if b.w.unguarded {
+			b.w.broken("%s starts %v, which needs %v, with room for %v", name, c.Ref.Task, need, room)
+		}
 		return runtable.StartNoRoom
 	}
 	b.w.trace(name, c.Ref.Task.String(), "starts run %d", c.Ref.Run)
@@ -173,6 +176,32 @@
 	return runtable.StartAccepted
 }
 
+// room returns what no run takes. What is being stopped still takes it.
+func (b *backendNode) room() durable.Resources {
+	room := b.capacity
+	for _, r := range b.running {
+		room = room.Sub(r.need)
+	}
+	return room
+}
+
+// stopGrace is how long a stop may take at a backend server; the users' platform
+// sets it.
+const stopGrace = 50 * time.Millisecond
+
+// stopRun ends the run, at once or, where the world has stops that take time,
+// within the grace.
+func (b *backendNode) stopRun(ref wire.RunRef) {
+	r := b.running[ref]
+	if !b.w.unguarded {
+		b.end(ref, wire.EndStopped)
+		return
+	}
+	if end := b.w.now.Add(b.w.between(0, stopGrace)); !r.stopped && end.Before(r.ends) {
+		r.stopped, r.ends = true, end
+	}
+}
+
 func (b *backendNode) stop(c runtable.StopCall, name string) {
 	b.settle()
 	if c.Instance != b.instance(name) || c.Token < b.token {
@@ -180,7 +209,7 @@
 	}
 	b.token = c.Token
 	if b.running[c.Ref] != nil {
-		b.end(c.Ref, wire.EndStopped)
+		b.stopRun(c.Ref)
 	}
 	b.newest[c.Ref.Task] = max(b.newest[c.Ref.Task], c.Ref.Run)
 }
--- a/jobs/promises/client_test.go
+++ b/jobs/promises/client_test.go
@@ -50,6 +50,9 @@
 		poison:     w.chance(0.03),
 	}
 	steps := []durable.Step{{Count: uint32(1 + w.random.IntN(4)), Need: durable.Resources{CPU: int64(500 + w.random.IntN(2500))}, EstimateMS: 200}}
+	if w.unguarded {
+		steps[0].Need.CPU = int64(largeNeeds * float64(steps[0].Need.CPU))
+	}
 	if w.chance(0.3) {
 		steps = append(steps, durable.Step{Count: 1, Need: durable.Resources{CPU: 1000}, EstimateMS: 200, DependsOn: []uint32{0}})
 	}
--- a/jobs/promises/random_test.go
+++ b/jobs/promises/random_test.go
@@ -94,6 +94,12 @@
 // seed; then all heals and every kept job must come to its end.
 func playCase(seed uint64, kinds int) *world {
 	w := newWorld(seed)
+	w.play(kinds)
+	return w
+}
+
+// play plays one case in the world.
+func (w *world) play(kinds int) {
 	for i := range jobsInCase {
 		j := newClientJob(w, i, w.chance(0.4))
 		w.after(warmUp+w.between(0, troubles), j.send)
@@ -115,7 +121,6 @@
 	w.heal()
 	w.run(calm)
 	w.finish()
-	return w
 }
 
 // fault brings one fault of the first kinds about.
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -189,6 +189,8 @@
 			n.w.trace(n.incarnation(), r.Task.String(), "kept run %d by %s", r.Run, c.name)
 		}
 		n.table.Kept(n.w.now, c.name, m)
+	case *wire.RunNeeds:
+		n.table.Needs(n.w.now, m)
 	case *wire.RunsQuery:
 		n.table.QueryRuns(n.w.now, c.name, m)
 	}
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -30,8 +30,11 @@
 	clients      map[durable.JobID]*clientJob
 	cut          map[link]bool
 
-	cfg       *config.Scheduler
-	runs      *config.Runs
+	cfg  *config.Scheduler
+	runs *config.Runs
+	// unguarded backend servers start what they are told to, and a start beyond their
+	// capacity breaks a promise; their stops take time.
+	unguarded bool
 	onAccept  func() // called when a client learns that its job is kept
 	violation string
 	counts    map[string]int
--- a/jobs/runtable/owners.go
+++ b/jobs/runtable/owners.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// Needs takes a coordinator's word of what runs here take.
+func (t *Table) Needs(_ time.Time, m *wire.RunNeeds) {
+	for _, n := range m.Runs {
+		r := t.runs[n.Ref]
+		if r == nil || !r.needUnknown {
+			continue
+		}
+		r.order.Need = n.Need
+		r.needUnknown = false
+		t.touchOwners()
+	}
+}
+
 // QueryRuns takes a coordinator's question about best-effort runs that it ordered
 // over an earlier connection.
 func (t *Table) QueryRuns(now time.Time, name string, m *wire.RunsQuery) {
--- a/jobs/runtable/run.go
+++ b/jobs/runtable/run.go
@@ -31,7 +31,7 @@
 	stop        bool      // stop as soon as the start is answered
 	unanswered  bool      // an order had no answer: it may be carried out late
 	straggled   bool      // was stopped since it was over its limit
-	adopted     bool      // was ordered by an earlier process: order holds no need
+	needUnknown bool      // was ordered by an earlier process, and its owner has not told its need
 }
 
 // age returns how long the run has been running, in milliseconds.
@@ -51,26 +51,26 @@
 }
 
 // used returns what the runs here take, apart from those that wait, and what
-// those that wait will take.
+// those that wait will take. A run of unknown need may be as large as the backend
+// server, so while there is one, all of it counts as taken. That lasts until the
+// run's owner has told its need (Needs), or the run has ended: one that no owner asks
+// about is stopped after Settings.FirstLease, and one whose owner falls silent when
+// the owner's lease is over. Any smaller guess would be no bound, and not every
+// backend server guards its capacity itself.
 func (t *Table) used() (running, waiting durable.Resources) {
+	unknown := false
 	for _, r := range t.runs {
+		unknown = unknown || r.needUnknown
 		if r.state == runWaiting {
-			waiting = waiting.Add(t.needOf(r))
+			waiting = waiting.Add(r.order.Need)
 		} else {
-			running = running.Add(t.needOf(r))
+			running = running.Add(r.order.Need)
 		}
 	}
-	return running, waiting
-}
-
-// needOf returns what a run takes. That of an adopted one died with the process
-// that ordered it. It is guessed from the capacity each time, since the backend
-// server may tell its capacity only after the run was adopted.
-func (t *Table) needOf(r *run) durable.Resources {
-	if r.adopted {
-		return durable.Resources{CPU: t.identity.Capacity.CPU / adoptedShare}
+	if unknown {
+		running = running.Max(t.identity.Capacity)
 	}
-	return r.order.Need
+	return running, waiting
 }
 
 // free returns what neither runs nor waits take; it may be negative.
@@ -79,10 +79,6 @@
 	return t.identity.Capacity.Sub(running).Sub(waiting)
 }
 
-// adoptedShare is the share of the capacity, as a divisor, that a run is
-// thought to take whose need died with an earlier process. Chosen, not measured.
-const adoptedShare = 10
-
 // adopt takes over what an earlier process here started.
 func (t *Table) adopt(now time.Time, running []ListedRun) {
 	for _, l := range running {
@@ -90,11 +86,11 @@
 			continue
 		}
 		t.runs[l.Ref] = &run{
-			order:   wire.RunOrder{Ref: l.Ref},
-			adopted: true,
-			lease:   t.leaseOfListed(l.Ref),
-			state:   runRunning,
-			started: now,
+			order:       wire.RunOrder{Ref: l.Ref},
+			needUnknown: true,
+			lease:       t.leaseOfListed(l.Ref),
+			state:       runRunning,
+			started:     now,
 		}
 		t.note(RunAdopted, l.Ref, "")
 	}
--- a/jobs/scheduler/reports.go
+++ b/jobs/scheduler/reports.go
@@ -34,6 +34,7 @@
 		known[ref] = true
 		c.found(now, w, p, ref)
 	}
+	c.tellNeeds(w, m.Running)
 	for _, e := range m.Ended {
 		known[e.Ref] = true
 		c.end(now, w, &e)
@@ -75,6 +76,34 @@
 	}
 }
 
+// tellNeeds tells a worker what those of the listed runs take that are ours: the
+// worker may have found them when its process started, and orders out nothing until
+// it knows.
+func (c *Core) tellNeeds(w *worker, listed []wire.RunRef) {
+	m := &wire.RunNeeds{}
+	for _, ref := range listed {
+		if t := c.runningTask(w, ref); t != nil {
+			m.Runs = append(m.Runs, wire.RunNeed{Ref: ref, Need: t.step.Need})
+		}
+	}
+	if len(m.Runs) > 0 {
+		c.send(w.name, m)
+	}
+}
+
+// runningTask returns the task whose present run at the worker that is, or nil.
+func (c *Core) runningTask(w *worker, ref wire.RunRef) *task {
+	j := c.find(ref.Task.Job)
+	if j == nil {
+		return nil
+	}
+	t := j.find(ref.Task)
+	if t == nil || t.worker != w || t.run != ref.Run {
+		return nil
+	}
+	return t
+}
+
 // queryRuns asks a worker what became of best-effort runs that were ordered
 // before the connection broke.
 func (c *Core) queryRuns(w *worker) {
@@ -97,6 +126,7 @@
 	for _, ref := range m.Running {
 		known[ref] = true
 	}
+	c.tellNeeds(w, m.Running)
 	for i := range m.Ended {
 		known[m.Ended[i].Ref] = true
 		c.end(now, w, &m.Ended[i])
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -114,6 +114,17 @@
 	return out
 }
 
+// needs returns what workers were told that runs take.
+func needs(e scheduler.Effects) []wire.RunNeed {
+	var out []wire.RunNeed
+	for _, s := range e.Sends {
+		if m, ok := s.Message.(*wire.RunNeeds); ok {
+			out = append(out, m.Runs...)
+		}
+	}
+	return out
+}
+
 func kept(e scheduler.Effects) []wire.RunRef {
 	var out []wire.RunRef
 	for _, s := range e.Sends {
@@ -327,7 +338,10 @@
 			Running: []wire.RunRef{ref(1)},
 			Ended:   []wire.RunEnd{{Ref: ref(2), How: uint8(wire.EndDone)}},
 		})
-		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		e := f.core.Take(f.now)
+		Expect(f.orders(e)).To(BeEmpty())
+		Expect(needs(e)).To(HaveLen(1))
+		Expect(needs(e)[0].Ref).To(Equal(ref(1)))
 		f.core.Ends(f.now, "w1", &wire.RunEnds{Ends: []wire.RunEnd{{Ref: ref(1), How: uint8(wire.EndDone)}}})
 		f.commit(scheduler.CommitOK)
 		Expect(f.state()).To(Equal(durable.Completed))
@@ -594,8 +608,11 @@
 		f.starts["w1"] = 0
 		f.status("w1", 4000)
 		Expect(f.core.Take(f.now).Sends).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&wire.RunsQuery{}))))
-		f.core.Runs(f.now, "w1", &wire.PartitionRuns{Partition: wire.BestEffortRuns, Running: []wire.RunRef{runs[0].order.Ref}})
-		again := f.orders(f.core.Take(f.now))
+		stranger := wire.RunRef{Task: durable.TaskID{Job: id}, Run: runs[0].order.Ref.Run + 1}
+		f.core.Runs(f.now, "w1", &wire.PartitionRuns{Partition: wire.BestEffortRuns, Running: []wire.RunRef{runs[0].order.Ref, stranger}})
+		e := f.core.Take(f.now)
+		Expect(needs(e)).To(Equal([]wire.RunNeed{{Ref: runs[0].order.Ref, Need: tasks(1).Need}}), "it may have found them")
+		again := f.orders(e)
 		Expect(again).To(HaveLen(1))
 		Expect(again[0].order.Ref.Task).To(Equal(runs[1].order.Ref.Task))
 	})
--- a/jobs/worker/events.go
+++ b/jobs/worker/events.go
@@ -54,6 +54,8 @@
 		w.table.Stop(now, from, m)
 	case *wire.RunsQuery:
 		w.table.QueryRuns(now, from, m)
+	case *wire.RunNeeds:
+		w.table.Needs(now, m)
 	case *wire.EndsKept:
 		w.table.Kept(now, from, m)
 	}
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -7,7 +7,7 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery
+//msgp:tuple PartitionEpoch OwnerHeartbeat BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds
 //msgp:limit arrays:65536
 
 // PartitionEpoch says that the sender owns a partition, with the fencing epoch
@@ -207,3 +207,15 @@
 
 // HandOver asks other coordinators to look at once which partitions are theirs.
 type HandOver struct{}
+
+// RunNeed says what one run takes of its backend server.
+type RunNeed struct {
+	Ref  RunRef
+	Need durable.Resources
+}
+
+// RunNeeds tells a worker what runs take that it listed in a PartitionRuns and that
+// the sender wants: a worker that found them when it started cannot know.
+type RunNeeds struct {
+	Runs []RunNeed
+}
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -1006,6 +1006,137 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RunNeed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	// array header, size 2
+	o = append(o, 0x92)
+	o, err = z.Ref.Task.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Ref", "Task")
+		return
+	}
+	o = msgp.AppendUint32(o, z.Ref.Run)
+	o, err = z.Need.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Need")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunNeed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ref")
+		return
+	}
+	if zb0002 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+		return
+	}
+	bts, err = z.Ref.Task.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ref", "Task")
+		return
+	}
+	z.Ref.Run, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ref", "Run")
+		return
+	}
+	bts, err = z.Need.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Need")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunNeed) Msgsize() (s int) {
+	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + z.Need.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RunNeeds) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+	for za0001 := range z.Runs {
+		o, err = z.Runs[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunNeeds) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
+	if zb0002 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Runs) >= int(zb0002) {
+		z.Runs = (z.Runs)[:zb0002]
+	} else {
+		z.Runs = make([]RunNeed, zb0002)
+	}
+	for za0001 := range z.Runs {
+		bts, err = z.Runs[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunNeeds) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Runs {
+		s += z.Runs[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RunOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -28,6 +28,7 @@
 	KindQueueCounts    Kind = 20
 	KindHandOver       Kind = 21
 	KindRunsQuery      Kind = 22
+	KindRunNeeds       Kind = 23
 )
 
 // kind is what a frame needs to know of a kind of message.
@@ -60,6 +61,7 @@
 	KindQueueCounts:    {"queue_counts", func() Message { return &QueueCounts{} }},
 	KindHandOver:       {"hand_over", func() Message { return &HandOver{} }},
 	KindRunsQuery:      {"claim_runs", func() Message { return &RunsQuery{} }},
+	KindRunNeeds:       {"run_needs", func() Message { return &RunNeeds{} }},
 }
 
 // String returns the kind's name, as used in metric labels.
@@ -164,3 +166,6 @@
 
 // WireKind returns KindRunsQuery.
 func (*RunsQuery) WireKind() Kind { return KindRunsQuery }
+
+// WireKind returns KindRunNeeds.
+func (*RunNeeds) WireKind() Kind { return KindRunNeeds }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -46,6 +46,7 @@
 		&wire.QueueCounts{Partitions: []wire.PartitionEpoch{{Partition: 1}}, Counts: []wire.QueueCount{{Queue: "q", Jobs: 4}}},
 		&wire.HandOver{},
 		&wire.RunsQuery{Runs: []wire.RunRef{someRun}},
+		&wire.RunNeeds{Runs: []wire.RunNeed{{Ref: someRun, Need: durable.Resources{CPU: 1500, Memory: 64}}}},
 	}
 }
 
