scheduler, ownership: deny a job only while the store confirms the partition

Found beside it by reading: A loses a partition to B and gets it back between two of its joins. A heard one change of two, kept its memory and its lower epoch, and would have denied what B kept until its next append. The spec of ownership was seen failing.

Change: "there is no such job" and states that are not final wait for the answer to a join that was sent after the call (250 ms at most in calm); without one, 503 or 504. A generation that jumps by more than one makes partitions be read anew.

--- a/jobs/coordinator/events.go
+++ b/jobs/coordinator/events.go
@@ -49,6 +49,7 @@
 		c.load(p, change.Epoch)
 	}
 	c.checkLease(now)
+	c.core.Confirmed(now, e.sent)
 	if len(change.Released)+len(change.Acquired) > 0 {
 		c.joinSoon()
 	}
--- a/jobs/ownership/ownership.go
+++ b/jobs/ownership/ownership.go
@@ -45,8 +45,9 @@
 // Joined takes the answer to a join that was sent at the time given.
 func (t *Table) Joined(sent, now time.Time, a store.Assignment) Change {
 	c := Change{Epoch: a.Generation}
-	// After a gap in our leases another member may have come and gone unseen.
-	gap := a.Generation != t.generation && !t.Valid(now)
+	// Another member may have had our partitions unseen: after a gap in our leases, or
+	// between two changes of which we heard the second alone.
+	gap := a.Generation != t.generation && !t.Valid(now) || a.Generation > t.generation+1
 	for p := range t.held {
 		if gap || !slices.Contains(a.Partitions, p) {
 			c.Released = append(c.Released, p)
--- a/jobs/ownership/ownership_test.go
+++ b/jobs/ownership/ownership_test.go
@@ -57,6 +57,15 @@
 		Expect(c.Epoch).To(Equal(uint64(3)))
 	})
 
+	It("are read anew after changes of which more than one was missed: another may have had them in between", func() {
+		join(0, 0, 1, 1, 2)
+		c := join(100*time.Millisecond, 100*time.Millisecond, 2, 1)
+		Expect(c.Released).To(ConsistOf(uint32(2)))
+		c = join(200*time.Millisecond, 200*time.Millisecond, 4, 1)
+		Expect(c.Released).To(ConsistOf(uint32(1)))
+		Expect(c.Acquired).To(ConsistOf(uint32(1)))
+	})
+
 	It("are read anew after another owner was seen", func() {
 		join(0, 0, 1, 1)
 		table.Lost(1)
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -107,6 +107,7 @@
 		n.load(p, change.Epoch)
 	}
 	n.lease()
+	n.core.Confirmed(n.w.now, sent)
 	n.perform()
 }
 
--- a/jobs/scheduler/calls.go
+++ b/jobs/scheduler/calls.go
@@ -62,8 +62,9 @@
 }
 
 // jobOf returns the kept job that a call is about, with its partition. Without
-// one the call has been answered and j is nil.
-func (c *Core) jobOf(call Call, id durable.JobID) (p *partition, j *job) {
+// one the call has been answered, or will be once Confirmed, and j is nil; again is
+// what answers it if the job turns up.
+func (c *Core) jobOf(now time.Time, call Call, id durable.JobID, again func(time.Time, Call, durable.JobID)) (p *partition, j *job) {
 	p = c.owned(id)
 	if p == nil {
 		c.fail(call, id, failure.NoOwner)
@@ -71,7 +72,7 @@
 	}
 	j = p.jobs[id]
 	if j == nil {
-		c.fail(call, id, failure.JobNotFound)
+		c.ask(now, call, id, again)
 	}
 	return p, j
 }
@@ -121,22 +122,23 @@
 }
 
 // State tells where a kept job stands. The reply about a job that is not final
-// waits a little for its end, within the time that the caller gives.
+// waits until the store has confirmed that the job is still ours, and a little for
+// its end, within the time that the caller gives.
 func (c *Core) State(now time.Time, call Call, id durable.JobID, budget time.Duration) {
-	_, j := c.jobOf(call, id)
+	again := func(now time.Time, call Call, id durable.JobID) { c.State(now, call, id, 0) }
+	_, j := c.jobOf(now, call, id, again)
 	switch {
 	case j == nil:
-	case j.stored.Final() || !j.begun() || budget <= 0:
-		c.reply(Reply{Call: call, ID: id, State: j.shown()})
+	case j.stored.Final():
+		c.reply(Reply{Call: call, ID: id, State: j.stored})
 	default:
-		j.watchers = append(j.watchers, watcher{call, now.Add(min(c.cfg.StateWait, budget/2))})
-		c.watched[j] = struct{}{}
+		c.watch(now, call, j, budget)
 	}
 }
 
 // Cancel cancels a kept job. The reply comes once the store has it.
 func (c *Core) Cancel(now time.Time, call Call, id durable.JobID) {
-	p, j := c.jobOf(call, id)
+	p, j := c.jobOf(now, call, id, c.Cancel)
 	switch {
 	case j == nil:
 	case j.stored.Final():
--- a/jobs/scheduler/partition.go
+++ b/jobs/scheduler/partition.go
@@ -94,6 +94,7 @@
 		return
 	}
 	delete(c.partitions, number)
+	c.refuseQuestions(number)
 	for _, j := range ordered.Values(p.jobs) {
 		c.drop(now, j)
 	}
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -55,8 +55,11 @@
 	bestEffort map[durable.JobID]*job // jobs that are not kept
 	active     int                    // jobs that are not final
 	callers    map[Call]waitingCall   // who wait for the store
-	watched    map[*job]struct{}      // jobs whose end is waited for by questions
-	ready      map[string]*readyQueue // tasks that want a worker, by service
+	watched    map[*job]struct{}      // jobs whose end is waited for by callers
+	questions  []question             // about jobs that are not here
+	// confirmedAt is when the newest join was sent that the store has answered.
+	confirmedAt time.Time
+	ready       map[string]*readyQueue // tasks that want a worker, by service
 
 	// Workers.
 	workers  map[string]*worker
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -164,6 +164,8 @@
 
 func (f *fixture) state() durable.State {
 	f.core.State(f.now, 99, id, 0)
+	f.core.Confirmed(f.now, f.now)
+	f.core.Tick(f.now)
 	for _, r := range f.core.Take(f.now).Replies {
 		if r.Call == 99 {
 			Expect(r.Failure).To(Equal(failure.None))
@@ -363,6 +365,26 @@
 		Expect(f.state()).To(Equal(durable.Failed), "two of two attempts")
 	})
 
+	It("says that there is no such job only when the store has confirmed since that the partition is ours", func() {
+		f := newFixture().owning(nil)
+		replies := func() []scheduler.Reply { return f.core.Take(f.now).Replies }
+		f.core.State(f.now, 1, id, time.Second)
+		f.core.Cancel(f.now, 2, id)
+		f.core.Confirmed(f.now, f.now.Add(-time.Millisecond))
+		Expect(replies()).To(BeEmpty(), "that was before the calls")
+		f.core.Confirmed(f.now, f.now)
+		Expect(replies()).To(HaveEach(HaveField("Failure", failure.JobNotFound)))
+
+		f.core.State(f.now, 3, id, time.Second)
+		f.core.Release(f.now, f.partition(), "test")
+		Expect(replies()).To(ConsistOf(HaveField("Failure", failure.NoOwner)))
+
+		f.owning(nil)
+		f.core.State(f.now, 4, id, time.Second)
+		f.pass(f.cfg.CallLimit.D())
+		Expect(replies()).To(ConsistOf(HaveField("Failure", failure.CommitUnknown)))
+	})
+
 	It("acts on nothing while its lease may be over", func() {
 		f := newFixture().owning(nil)
 		f.worker("w1")
