--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unversioned)
 
-.PHONY: build test lint dev bench soak-submissions soak-jobs random mutants fuzz docs generate
+.PHONY: build test lint dev bench soak-submissions soak-jobs random mutants fuzz docs generate pairs
 
 build: ## build bin/lichenfall
 	$(GO) build -trimpath -ldflags "-X github.com/lichenfall/lichenfall/commands.version=$(VERSION)" -o bin/lichenfall .
@@ -42,3 +42,7 @@
 
 generate: ## rewrite generated code (needs nothing installed)
 	$(GO) generate ./...
+
+BENCH ?=
+pairs: ## play days of the users' bench in pairs; see scripts/play for ARGS
+	scripts/play $(BENCH) $(ARGS)
