--- a/config/runs.go
+++ b/config/runs.go
@@ -24,9 +24,19 @@
 	// BackendLease is the longest lease that the backend server grants; the users'
 	// platform sets it.
 	BackendLease Duration `json:"hold_lease"`
-	// RenewWait is how long a renewal of that lease may wait for news. Chosen, not
-	// measured: a tenth of the lease.
+	// RenewWait is how long a renewal of that lease may wait for news. One without an
+	// answer makes the worker deaf for so long and RenewLimit more: measured in
+	// docs/measurements/0008.
 	RenewWait Duration `json:"hold_renew"`
+	// IdleRenewWait is the same while nothing runs. Chosen, not measured: a tenth of the
+	// lease.
+	IdleRenewWait Duration `json:"idle_renew"`
+	// RenewLimit is for the answer to a renewal, beyond its wait; it doubles after each
+	// that had none, up to CallLimit. Measured with RenewWait.
+	RenewLimit Duration `json:"renew_limit"`
+	// Silence is how long the backend server may give no answer before it is called
+	// silent. Chosen, not measured: a quarter of the lease, and many renewals.
+	Silence Duration `json:"silence"`
 	// StartLimit is when an unanswered start is stopped. Chosen, not measured: well
 	// within the 2 to 12 s in which it may still be carried out.
 	StartLimit Duration `json:"start_limit"`
@@ -49,7 +59,10 @@
 		BestEffortLease: Duration(800 * time.Millisecond),
 		StopGrace:       Duration(200 * time.Millisecond),
 		BackendLease:    Duration(time.Second),
-		RenewWait:       Duration(100 * time.Millisecond),
+		RenewWait:       Duration(20 * time.Millisecond),
+		IdleRenewWait:   Duration(100 * time.Millisecond),
+		RenewLimit:      Duration(30 * time.Millisecond),
+		Silence:         Duration(260 * time.Millisecond),
 		StartLimit:      Duration(700 * time.Millisecond),
 		CallLimit:       Duration(60 * time.Millisecond),
 		MaxWaiting:      6,
@@ -64,7 +77,10 @@
 	c.span("runs.best_effort_lease", r.BestEffortLease, Duration(100*time.Millisecond), 60*second)
 	c.span("runs.stop_grace", r.StopGrace, 0, 10*second)
 	c.span("runs.hold_lease", r.BackendLease, Duration(100*time.Millisecond), 60*second)
-	c.span("runs.hold_renew", r.RenewWait, Duration(10*time.Millisecond), r.BackendLease/2)
+	c.span("runs.hold_renew", r.RenewWait, Duration(5*time.Millisecond), r.BackendLease/2)
+	c.span("runs.idle_renew", r.IdleRenewWait, r.RenewWait, r.BackendLease/2)
+	c.span("runs.renew_limit", r.RenewLimit, Duration(time.Millisecond), r.CallLimit)
+	c.span("runs.silence", r.Silence, r.IdleRenewWait+r.CallLimit, r.BackendLease)
 	c.span("runs.start_limit", r.StartLimit, Duration(10*time.Millisecond), 60*second)
 	c.span("runs.call_limit", r.CallLimit, Duration(10*time.Millisecond), r.BackendLease)
 	between(c, "runs.max_waiting", r.MaxWaiting, 1, 10000)
@@ -80,7 +96,10 @@
 		StopGrace:       r.StopGrace.D(),
 		BackendLease:    r.BackendLease.D(),
 		RenewWait:       r.RenewWait.D(),
-		Silence:         2*r.RenewWait.D() + r.CallLimit.D(),
+		IdleRenewWait:   r.IdleRenewWait.D(),
+		RenewLimit:      r.RenewLimit.D(),
+		CallLimit:       r.CallLimit.D(),
+		Silence:         r.Silence.D(),
 		Drift:           drift,
 		StartLimit:      r.StartLimit.D(),
 		MaxWaiting:      r.MaxWaiting,
--- a/jobs/runtable/renew.go
+++ b/jobs/runtable/renew.go
@@ -11,22 +11,47 @@
 		return RenewCall{}, false
 	}
 	t.renewSeq++
-	call = RenewCall{Instance: t.identity.Instance, Seq: t.renewSeq, Token: t.token, LastSeen: t.acked}
+	call = RenewCall{Instance: t.identity.Instance, Seq: t.renewSeq, Token: t.token, LastSeen: t.acked, Limit: t.renewLimit()}
 	if t.token == 0 {
 		return call, true
 	}
 	call.Deadline = t.deadline(now)
-	if t.synced {
-		call.Wait = t.cfg.RenewWait
-	}
+	call.Wait = t.renewWait()
 	return call, true
 }
 
+// renewWait returns how long the next renewal may wait at the backend server for news.
+// Each renewal may be the one that has no answer, and until it is given up nothing is
+// heard: so waits are short while something runs, and the renewal after an unanswered
+// one asks at once.
+func (t *Table) renewWait() time.Duration {
+	switch {
+	case !t.synced || t.unanswered > 0:
+		return 0
+	case len(t.runs) == 0:
+		return t.cfg.IdleRenewWait
+	}
+	return t.cfg.RenewWait
+}
+
+// renewLimit returns how long to wait for the answer to a renewal, beyond its own
+// wait: twice as long after each that had none, since the box may be slow.
+func (t *Table) renewLimit() time.Duration {
+	limit := t.cfg.RenewLimit
+	for i := 0; i < t.unanswered && limit < t.cfg.CallLimit; i++ {
+		limit *= 2
+	}
+	return min(limit, t.cfg.CallLimit)
+}
+
 // RenewAnswered tells the table of the answer to a RenewCall.
 func (t *Table) RenewAnswered(now time.Time, call RenewCall, a RenewAnswer) {
 	if call.Instance != t.identity.Instance || !t.known {
 		return
 	}
+	if a.Result != RenewUnanswered {
+		t.unanswered = 0
+	}
 	switch a.Result {
 	case RenewDead:
 		t.lifeOver(now, reasonRefused)
@@ -35,6 +60,7 @@
 		t.lifeOver(now, "wrong_life")
 		return
 	case RenewUnanswered:
+		t.unanswered++
 		return
 	case RenewFenced:
 		t.setClock(now, a.Clock)
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -25,11 +25,15 @@
 	OwnerLease   time.Duration // how long a coordinator's heartbeat keeps its kept jobs' runs
 	BackendLease time.Duration // longest lease that the backend server grants
 	RenewWait    time.Duration // how long a renewal may wait at the backend server for news
-	Silence      time.Duration // without an answer after which the backend server is called silent
-	Drift        float64       // by how much the backend server's clock may run slow, such as 0.02
-	StartLimit   time.Duration // after which an unanswered start is stopped
-	MaxWaiting   int           // runs that may wait for room
-	FirstLease   time.Duration // how long a fresh process waits for the owners of what it adopted
+	// IdleRenewWait is the RenewWait while nothing runs.
+	IdleRenewWait time.Duration
+	RenewLimit    time.Duration // how long the answer to a renewal may take beyond its wait
+	CallLimit     time.Duration // the most that RenewLimit grows to
+	Silence       time.Duration // without an answer after which the backend server is called silent
+	Drift         float64       // by how much the backend server's clock may run slow, such as 0.02
+	StartLimit    time.Duration // after which an unanswered start is stopped
+	MaxWaiting    int           // runs that may wait for room
+	FirstLease    time.Duration // how long a fresh process waits for the owners of what it adopted
 	// BestEffortLease is the OwnerLease of best-effort jobs: their runs must be
 	// gone before the callers send the jobs again.
 	BestEffortLease time.Duration
@@ -55,12 +59,13 @@
 	seen    uint64          // greatest number of an end that was listed
 	acked   uint64          // every end up to it is stored by its owner
 
-	renewSeq  uint64
-	leaseEnds time.Time     // when the backend server's lease is over for certain
-	granted   time.Duration // the end of the lease that was asked for last, on its clock
-	lapsing   bool          // nothing is renewed until the lease is over
-	silent    bool          // the backend server does not answer
-	noRoomAt  time.Time     // when the backend server last had less room than we thought
+	renewSeq   uint64
+	unanswered int           // renewals in a row that had no answer
+	leaseEnds  time.Time     // when the backend server's lease is over for certain
+	granted    time.Duration // the end of the lease that was asked for last, on its clock
+	lapsing    bool          // nothing is renewed until the lease is over
+	silent     bool          // the backend server does not answer
+	noRoomAt   time.Time     // when the backend server last had less room than we thought
 
 	leases map[leaseKey]*ownerLease
 	owners map[string]*owner // by connection
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -423,6 +423,34 @@
 	})
 })
 
+var _ = Describe("renewals", func() {
+	unanswered := func(f *fixture) runtable.RenewCall {
+		call, ok := f.table.NextRenewal(f.now)
+		Expect(ok).To(BeTrue())
+		f.table.RenewAnswered(f.now, call, runtable.RenewAnswer{Result: runtable.RenewUnanswered})
+		return call
+	}
+
+	It("wait for news, and less long while something runs", func() {
+		f := newFixture().ready()
+		Expect(f.hold(nil).Wait).To(Equal(f.cfg.IdleRenewWait.D()))
+		f.order(7, ref(0, 1))
+		f.take()
+		Expect(f.hold(nil).Wait).To(Equal(f.cfg.RenewWait.D()))
+	})
+
+	It("ask at once after one that had no answer, and give the next ones more time", func() {
+		f := newFixture().ready()
+		Expect(unanswered(f).Limit).To(Equal(f.cfg.RenewLimit.D()))
+		second := unanswered(f)
+		Expect(second.Wait).To(BeZero())
+		Expect(second.Limit).To(Equal(2 * f.cfg.RenewLimit.D()))
+		Expect(unanswered(f).Limit).To(Equal(f.cfg.CallLimit.D()), "and no more than any call has")
+		f.hold(nil)
+		Expect(f.hold(nil).Limit).To(Equal(f.cfg.RenewLimit.D()))
+	})
+})
+
 var _ = Describe("a process after another", func() {
 	It("takes a fencing token above that of the earlier one", func() {
 		f := newFixture()
--- a/jobs/worker/renew.go
+++ b/jobs/worker/renew.go
@@ -37,7 +37,7 @@
 }
 
 func (w *Worker) renew(call runtable.RenewCall) runtable.RenewAnswer {
-	ctx, cancel := context.WithTimeout(w.halt, call.Wait+w.cfg.Runs.CallLimit.D())
+	ctx, cancel := context.WithTimeout(w.halt, call.Wait+call.Limit)
 	defer cancel()
 	return w.backend.Renew(ctx, call)
 }
