scheduler, runtable: let no task wait at a worker

A task that waits there waits for the ends of one worker alone: jobs of eight tasks of 60 ms that came late had spent 45 ms between their last order and the run's time (tariff-check 41 ms), of a slack of some 90, while room came up at ten other workers.

Hypothesis: late binding. A task that fits nowhere stays in the coordinator's queue and goes to whichever worker has room first.

Change: a worker takes what fits and hands the rest back; nothing waits there.

--- a/config/runs.go
+++ b/config/runs.go
@@ -43,9 +43,6 @@
 	// CallLimit is for one call of the backend server. Chosen, not measured: some
 	// twenty times what one takes.
 	CallLimit Duration `json:"call_limit"`
-	// MaxWaiting is how many runs may wait for room. Chosen, not measured; coordinators
-	// send two at most each.
-	MaxWaiting int `json:"max_waiting"`
 	// FirstLease is how long a fresh process waits for the owners of what it adopted.
 	// Chosen, not measured: a heartbeat and some.
 	FirstLease Duration `json:"first_lease"`
@@ -65,7 +62,6 @@
 		Silence:         Duration(260 * time.Millisecond),
 		StartLimit:      Duration(700 * time.Millisecond),
 		CallLimit:       Duration(60 * time.Millisecond),
-		MaxWaiting:      6,
 		FirstLease:      Duration(250 * time.Millisecond),
 	}
 }
@@ -83,7 +79,6 @@
 	c.span("runs.silence", r.Silence, r.IdleRenewWait+r.CallLimit, r.BackendLease)
 	c.span("runs.start_limit", r.StartLimit, Duration(10*time.Millisecond), 60*second)
 	c.span("runs.call_limit", r.CallLimit, Duration(10*time.Millisecond), r.BackendLease)
-	between(c, "runs.max_waiting", r.MaxWaiting, 1, 10000)
 	c.span("runs.first_lease", r.FirstLease, 0, r.OwnerLease)
 }
 
@@ -102,7 +97,6 @@
 		Silence:         r.Silence.D(),
 		Drift:           drift,
 		StartLimit:      r.StartLimit.D(),
-		MaxWaiting:      r.MaxWaiting,
 		FirstLease:      r.FirstLease.D(),
 	}
 }
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -78,5 +78,4 @@
 		t.endRun(now, t.runs[ref], how, reason)
 		delete(t.runs, ref)
 	}
-	t.waiting = nil
 }
--- a/jobs/runtable/run.go
+++ b/jobs/runtable/run.go
@@ -12,8 +12,7 @@
 type runState uint8
 
 const (
-	runWaiting   runState = iota // for room
-	runStarting                  // ordered; no answer yet
+	runStarting  runState = iota // ordered; no answer yet
 	runRunning                   // the backend server has it
 	runStopping                  // a stop is on its way
 	runVerifying                 // stopped; the next list tells whether it ran
@@ -24,7 +23,6 @@
 	order       wire.RunOrder
 	lease       leaseKey // of the owner under whose lease it runs
 	state       runState
-	due         time.Time // when it should begin
 	firstSent   time.Time // to the backend server
 	started     time.Time // when the start was answered, or the run adopted
 	verifyAfter uint64    // a renewal later than this one decides what became of it
@@ -50,34 +48,27 @@
 	})
 }
 
-// used returns what the runs here take, apart from those that wait, and what
-// those that wait will take. A run of unknown need may be as large as the backend
-// server, so while there is one, all of it counts as taken. That lasts until the
-// run's owner has told its need (Needs), or the run has ended: one that no owner asks
-// about is stopped after Settings.FirstLease, and one whose owner falls silent when
-// the owner's lease is over. Any smaller guess would be no bound, and not every
+// used returns what the runs here take. A run of unknown need may be as large as the
+// backend server, so while there is one, all of it counts as taken. That lasts until
+// the run's owner has told its need (Needs), or the run has ended: one that no owner
+// asks about is stopped after Settings.FirstLease, and one whose owner falls silent
+// when the owner's lease is over. Any smaller guess would be no bound, and not every
 // backend server guards its capacity itself.
-func (t *Table) used() (running, waiting durable.Resources) {
+func (t *Table) used() durable.Resources {
+	used := durable.Resources{}
 	unknown := false
 	for _, r := range t.runs {
 		unknown = unknown || r.needUnknown
-		if r.state == runWaiting {
-			waiting = waiting.Add(r.order.Need)
-		} else {
-			running = running.Add(r.order.Need)
-		}
+		used = used.Add(r.order.Need)
 	}
 	if unknown {
-		running = running.Max(t.identity.Capacity)
+		used = used.Max(t.identity.Capacity)
 	}
-	return running, waiting
+	return used
 }
 
-// free returns what neither runs nor waits take; it may be negative.
-func (t *Table) free() durable.Resources {
-	running, waiting := t.used()
-	return t.identity.Capacity.Sub(running).Sub(waiting)
-}
+// free returns what the runs here leave; it may be negative.
+func (t *Table) free() durable.Resources { return t.identity.Capacity.Sub(t.used()) }
 
 // adopt takes over what an earlier process here started.
 func (t *Table) adopt(now time.Time, running []ListedRun) {
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -32,7 +32,6 @@
 	Silence       time.Duration // without an answer after which the backend server is called silent
 	Drift         float64       // by how much the backend server's clock may run slow, such as 0.02
 	StartLimit    time.Duration // after which an unanswered start is stopped
-	MaxWaiting    int           // runs that may wait for room
 	FirstLease    time.Duration // how long a fresh process waits for the owners of what it adopted
 	// BestEffortLease is the OwnerLease of best-effort jobs: their runs must be
 	// gone before the callers send the jobs again.
@@ -53,11 +52,10 @@
 	synced   bool // the backend server's list of runs has been read under our token
 	syncedAt time.Time
 
-	runs    map[wire.RunRef]*run
-	waiting []*run
-	ends    map[uint64]*end // by their number
-	seen    uint64          // greatest number of an end that was listed
-	acked   uint64          // every end up to it is stored by its owner
+	runs  map[wire.RunRef]*run
+	ends  map[uint64]*end // by their number
+	seen  uint64          // greatest number of an end that was listed
+	acked uint64          // every end up to it is stored by its owner
 
 	renewSeq   uint64
 	unanswered int           // renewals in a row that had no answer
@@ -102,10 +100,8 @@
 	}
 }
 
-// Take starts what can be started and returns what has to be done since the
-// last call.
+// Take returns what has to be done since the last call.
 func (t *Table) Take(now time.Time) Effects {
-	t.startWaiting(now)
 	t.sendStatuses(now)
 	e := t.effects
 	t.effects = Effects{}
--- a/jobs/runtable/silence.go
+++ b/jobs/runtable/silence.go
@@ -7,9 +7,8 @@
 )
 
 // checkSilence notes whether the backend server answers. While it does not, it
-// gets no new runs, those that wait here are handed back, and its lease is not
-// renewed any further, so that what it runs is known to be dead as soon as can
-// be.
+// gets no new runs, and its lease is not renewed any further, so that what it runs is
+// known to be dead as soon as can be.
 func (t *Table) checkSilence(now time.Time) {
 	silent := t.known && t.synced && now.Sub(t.clockAt) > t.cfg.Silence
 	if silent == t.silent {
@@ -23,7 +22,6 @@
 		return
 	}
 	t.note(BackendSilent, wire.RunRef{}, reasonNoAnswer)
-	t.handBackWaiting(now)
 }
 
 // repeatCalls makes the calls again that had no answer in the silence.
@@ -38,15 +36,6 @@
 	}
 }
 
-// handBackWaiting gives the runs that wait here back to their coordinators.
-func (t *Table) handBackWaiting(now time.Time) {
-	for _, r := range t.waiting {
-		delete(t.runs, r.order.Ref)
-		t.endRun(now, r, wire.EndNotRun, reasonSilent)
-	}
-	t.waiting = nil
-}
-
 // lapseSilent lets the lease of a silent backend server lapse once the last
 // renewal is over for certain.
 func (t *Table) lapseSilent(now time.Time) {
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -1,14 +1,13 @@
 package runtable
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// noRoomPause is how long nothing is started after the backend server had
-// less room than we thought. Chosen, not measured.
+// noRoomPause is how long orders are handed back after the backend server had less
+// room than we thought. Chosen, not measured.
 const noRoomPause = 20 * time.Millisecond
 
 // Start takes the orders of a coordinator.
@@ -39,21 +38,20 @@
 		t.sendEnd(name, wire.RunEnd{Ref: order.Ref, How: uint8(wire.EndNotRun), Reason: reason})
 		return
 	}
-	r := &run{order: *order, lease: key, due: now.Add(time.Duration(order.DueMS) * time.Millisecond)}
+	r := &run{order: *order, lease: key, firstSent: now}
 	t.runs[order.Ref] = r
-	t.waiting = append(t.waiting, r)
+	t.sendStart(now, r)
 }
 
-// refusal returns why an order is handed back, or nothing if it is taken: a run
-// waits here only if it fits now, or if the coordinator lets it wait and few
-// others do.
+// refusal returns why an order is handed back, or nothing if it is taken: it has to
+// fit now.
 func (t *Table) refusal(now time.Time, name string, order *wire.RunOrder, key leaseKey) string {
 	switch {
 	case !t.valid(now, name, order, key):
 		return "no_lease"
 	case !t.canStart():
 		return "not_ready"
-	case len(t.waiting) >= t.cfg.MaxWaiting, !order.MayWait && !order.Need.Fits(t.free()):
+	case !order.Need.Fits(t.free()), now.Sub(t.noRoomAt) < noRoomPause:
 		return "busy"
 	}
 	return ""
@@ -63,30 +61,6 @@
 	return t.known && t.identity.Ready && t.synced && !t.lapsing && !t.silent
 }
 
-// startWaiting starts what fits, in the order in which it is due. What does not
-// fit holds up all that is due later, so that large runs are not passed over
-// for ever.
-func (t *Table) startWaiting(now time.Time) {
-	if !t.canStart() || len(t.waiting) == 0 || now.Sub(t.noRoomAt) < noRoomPause {
-		return
-	}
-	running, _ := t.used()
-	room := t.identity.Capacity.Sub(running)
-	slices.SortStableFunc(t.waiting, func(a, b *run) int { return a.due.Compare(b.due) })
-	left := t.waiting[:0]
-	for i, r := range t.waiting {
-		if !r.order.Need.Fits(room) {
-			left = append(left, t.waiting[i:]...)
-			break
-		}
-		room = room.Sub(r.order.Need)
-		r.state = runStarting
-		r.firstSent = now
-		t.sendStart(now, r)
-	}
-	t.waiting = left
-}
-
 func (t *Table) sendStart(now time.Time, r *run) {
 	t.effects.Starts = append(t.effects.Starts, StartCall{
 		Instance:   t.identity.Instance,
--- a/jobs/runtable/status.go
+++ b/jobs/runtable/status.go
@@ -39,7 +39,6 @@
 		StartSeq:     o.startSeq,
 		Ready:        t.canStart(),
 		Free:         t.free(),
-		Waiting:      uint32(len(t.waiting)),
 		Fenced:       o.fenced,
 	}
 	o.fenced = nil
--- a/jobs/runtable/stops.go
+++ b/jobs/runtable/stops.go
@@ -1,7 +1,6 @@
 package runtable
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/wire"
@@ -23,10 +22,6 @@
 
 func (t *Table) stopRun(now time.Time, r *run) {
 	switch r.state {
-	case runWaiting:
-		t.dropWaiting(r)
-		delete(t.runs, r.order.Ref)
-		t.endRun(now, r, wire.EndNotRun, "stopped")
 	case runStarting:
 		r.stop = true
 	case runRunning:
@@ -39,10 +34,6 @@
 	t.effects.Stops = append(t.effects.Stops, StopCall{Instance: t.identity.Instance, Ref: r.order.Ref, Token: t.token})
 }
 
-func (t *Table) dropWaiting(r *run) {
-	t.waiting = slices.DeleteFunc(t.waiting, func(w *run) bool { return w == r })
-}
-
 // StopAnswered tells the table whether a StopCall was answered.
 func (t *Table) StopAnswered(_ time.Time, call StopCall, answered bool) {
 	r := t.runs[call.Ref]
@@ -84,8 +75,7 @@
 }
 
 // stopStragglers stops runs that are over their limit, so that they can be
-// started elsewhere. The limit comes with the order and counts from the start:
-// time that a run waited here does not count.
+// started elsewhere. The limit comes with the order and counts from the start.
 func (t *Table) stopStragglers(now time.Time) {
 	for _, ref := range t.refs() {
 		r := t.runs[ref]
--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -18,27 +18,22 @@
 	free    durable.Resources
 	ejected bool    // an outlier that gets no task now
 	jitter  float64 // share of the capacity by which the choice is left to chance
-	mayWait bool    // a task that does not fit may wait there
 }
 
 // candidates returns the workers of the service that take tasks.
 func (c *Core) candidates(now time.Time, service string) []candidate {
 	var out []candidate
 	var slow []float64
-	anyPreferred := false
 	for _, w := range c.sample() {
 		if !c.takesTasks(now, w) || w.identity.Service != service {
 			continue
 		}
 		out = append(out, candidate{w: w, free: w.free(), jitter: c.random.Float64() * maxJitter})
 		slow = append(slow, w.stats.slowness)
-		anyPreferred = anyPreferred || w.preference == Preferred
 	}
 	slices.Sort(slow)
 	for i := range out {
-		w := out[i].w
-		out[i].ejected = c.ejected(now, w, slow[len(slow)/2])
-		out[i].mayWait = (w.preference == Preferred || !anyPreferred) && !now.Before(w.fullUntil)
+		out[i].ejected = c.ejected(now, out[i].w, slow[len(slow)/2])
 	}
 	return out
 }
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -22,8 +22,8 @@
 		}
 		q.moveOverdue(now)
 		workers := c.candidates(now, service)
-		if c.dispatchHeap(now, &q.onTime, workers, true, orders) {
-			c.dispatchHeap(now, &q.overdue, workers, false, orders)
+		if c.dispatchHeap(now, &q.onTime, workers, orders) {
+			c.dispatchHeap(now, &q.overdue, workers, orders)
 		}
 	}
 	for _, w := range ordered.KeysFunc(orders, byName) {
@@ -36,7 +36,7 @@
 
 // dispatchHeap orders what it can of the heap, and returns whether nothing is
 // left that could have been ordered with more room.
-func (c *Core) dispatchHeap(now time.Time, q *taskHeap, workers []candidate, wait bool, orders map[*worker]*wire.StartRuns) bool {
+func (c *Core) dispatchHeap(now time.Time, q *taskHeap, workers []candidate, orders map[*worker]*wire.StartRuns) bool {
 	var passed []*task
 	for q.Len() > 0 && len(passed) < lookAhead {
 		t := heap.Pop(q).(*task)
@@ -45,7 +45,7 @@
 			passed = append(passed, t)
 			continue
 		}
-		cand := c.choose(t, workers, wait)
+		cand := c.choose(t, workers)
 		if cand == nil {
 			passed = append(passed, t)
 			continue
@@ -74,7 +74,6 @@
 // worker with bad figures is its probe.
 func (c *Core) orderRun(now time.Time, epoch uint64, t *task, cand *candidate, orders map[*worker]*wire.StartRuns) {
 	w := cand.w
-	waits := !t.step.Need.Fits(cand.free)
 	cand.free = cand.free.Sub(t.step.Need)
 	if w.stats.failing >= outlierFailing || w.stats.slowness >= outlierSlowness {
 		w.stats.probedAt = now
@@ -93,10 +92,7 @@
 		BestEffort: t.job.sub.BestEffort,
 		Spec:       t.job.sub.Spec,
 		Need:       t.step.Need,
-		Priority:   t.job.sub.Queue.Priority,
-		DueMS:      t.due.Sub(now).Milliseconds(),
 		Checkpoint: t.check,
-		MayWait:    waits,
 		LimitMS:    c.limitOf(t).Milliseconds(),
 	})
 	c.note(Note{What: RunOrdered, Task: t.id.String(), Run: t.run, Worker: w.name, Measure: JobAgeMS, Value: t.job.age(now), Frequent: true})
--- a/jobs/scheduler/placement.go
+++ b/jobs/scheduler/placement.go
@@ -3,14 +3,13 @@
 import "slices"
 
 // choose returns the worker that the task goes to, or nil. It is the one with the
-// greatest worth among those where the task may go: where it fits, or, if wait is
-// true, may wait a little.
-func (c *Core) choose(t *task, workers []candidate, wait bool) *candidate {
+// greatest worth among those where the task may go.
+func (c *Core) choose(t *task, workers []candidate) *candidate {
 	var best *candidate
 	bestWorth := 0.0
 	for i := range workers {
 		cand := &workers[i]
-		if !t.mayGo(cand, wait) {
+		if !t.mayGo(cand) {
 			continue
 		}
 		if worth := c.worth(t, cand); best == nil || worth > bestWorth {
@@ -20,30 +19,13 @@
 	return best
 }
 
-// Bounds on sending tasks to a worker where they have to wait, which hides the
-// round trip of an order.
-const (
-	// overcommit is the share of its capacity that may wait at a worker. Chosen, not
-	// measured.
-	overcommit = 0.06
-	// maxWaiting is how many runs may wait at a worker already. Chosen, not measured;
-	// that tasks wait at preferred workers alone was: worth 0.840 before, 0.878 after
-	// (docs/measurements/0006).
-	maxWaiting = 2
-)
-
-// mayGo returns whether the task may be sent to the worker: it could ever fit, the
-// step's constraints allow it, the worker is no outlier, and it fits now or may
-// wait.
-func (t *task) mayGo(cand *candidate, wait bool) bool {
-	capacity := cand.w.identity.Capacity
-	if !t.step.Need.Fits(capacity) || !allowed(t, cand.w) || capacity.CPU == 0 || cand.ejected {
-		return false
-	}
-	if t.step.Need.Fits(cand.free) {
-		return true
-	}
-	return wait && cand.mayWait && cand.share() > -overcommit && cand.w.status.Waiting < maxWaiting
+// mayGo returns whether the task may be sent to the worker: it fits, the step's
+// constraints allow it, and the worker is no outlier. A task that fits nowhere waits
+// here and not at a worker, where it would wait for the ends of that one alone:
+// measured, with two tasks that could wait at each preferred worker before, in
+// docs/measurements/0008.
+func (t *task) mayGo(cand *candidate) bool {
+	return t.step.Need.Fits(cand.free) && cand.w.identity.Capacity.CPU > 0 && !cand.ejected && allowed(t, cand.w)
 }
 
 // share returns the share of the worker's cores that is free; it may be negative.
@@ -53,13 +35,10 @@
 
 // The worth of sending a task to a worker, in shares of the worker's cores that
 // are free: each weight says how much more free room elsewhere would outweigh it.
-// They are no plain order of preference. The first three are so large that nothing
-// but each other, and worthFailingAgain, outweighs them; those below are traded
-// against room. Chosen, not measured, but where a figure stands (one day each,
+// They are no plain order of preference. worthAvoided is so large that nothing but
+// worthFailingAgain outweighs it; the others are traded against room. Chosen, not measured, but where a figure stands (one day each,
 // docs/measurements/0006).
 const (
-	worthFits         = 10.0 // it fits, and need not wait
-	worthWaits        = 5.0  // it has to wait
 	worthAvoided      = 10.0 // taken away where a run of the task failed or straggled
 	worthRack         = 2.0  // near the task's data
 	worthPreferred    = 0.6  // a preferred worker; worth of the day 0.827 before, 0.831 after
@@ -72,10 +51,7 @@
 // worth returns how much the worker is preferred for the task.
 func (c *Core) worth(t *task, cand *candidate) float64 {
 	w := cand.w
-	worth := worthWaits
-	if t.step.Need.Fits(cand.free) {
-		worth = worthFits
-	}
+	worth := 0.0
 	if t.avoids(w) {
 		worth -= worthAvoided
 	}
--- a/jobs/scheduler/retries.go
+++ b/jobs/scheduler/retries.go
@@ -28,7 +28,6 @@
 		t.avoid = append(t.avoid, w.name)
 		c.enqueue(now, t)
 	case wire.EndNotRun:
-		w.fullUntil = now.Add(handBackPause)
 		w.status.Free = durable.Resources{} // until it says what it has
 		c.enqueue(now, t)
 	default: // stopped, lapsed or lost: no fault of the task, and not counted
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -19,7 +19,6 @@
 	identity   wire.BackendIdentity
 	heardAt    time.Time // when the newest status came
 	upAt       time.Time // when the connection was made
-	fullUntil  time.Time // it handed a task back: nothing that has to wait goes there before
 	beatAt     time.Time // when the newest heartbeat was sent
 	beatSeq    uint64    // of the newest heartbeat
 	startSeq   uint64    // of the newest StartRuns
@@ -88,10 +87,6 @@
 	c.note(Note{What: WorkerDown, Worker: name, Measure: RunsThere, Value: int64(len(w.assigned))})
 }
 
-// handBackPause is how long nothing that would have to wait is sent to a worker
-// that handed a task back. Chosen, not measured; it covers a status on its way.
-const handBackPause = 15 * time.Millisecond
-
 // Status takes a worker's status.
 func (c *Core) Status(now time.Time, name string, m *wire.WorkerStatus) {
 	w := c.workers[name]
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -42,8 +42,7 @@
 	HeartbeatSeq uint64            // the newest heartbeat that was handled
 	StartSeq     uint64            // the newest StartRuns that was handled
 	Ready        bool              // takes new tasks
-	Free         durable.Resources // after what runs and waits there; may be negative
-	Waiting      uint32            // tasks that wait for room
+	Free         durable.Resources // after what runs there; may be negative
 	Fenced       []uint32          // partitions of the receiver that another owner has claimed
 	Identity     *BackendIdentity  // nil while it is that of the last status on the connection
 }
@@ -69,13 +68,8 @@
 	BestEffort bool   // the job is not kept; the sender owns it while it lives
 	Spec       string
 	Need       durable.Resources
-	Priority   int32
-	DueMS      int64 // milliseconds from now until it should have begun; may be negative
 	Checkpoint string
-	// MayWait lets the run wait at the worker until it fits. One that may not is
-	// handed back at once if it does not fit, since there may be room elsewhere.
-	MayWait bool
-	LimitMS int64 // a run that takes longer is a straggler, and stopped; 0 sets no limit
+	LimitMS    int64 // a run that takes longer is a straggler, and stopped; 0 sets no limit
 }
 
 // End says how a run ended.
