runtable, scheduler: learn of slow and failing servers from their workers

Change: the worker smooths the time of runs over their estimates and the share that failed, over all owners, counts runs that go on as if they ended now, and tells both with its status; coordinators compare with the median as before, and log when their belief changes (they did not). The statistics of coordinators are gone.

--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -84,6 +84,7 @@
 	if r.straggled && l.How == wire.EndStopped {
 		e.report.How = uint8(wire.EndStraggled)
 	}
+	t.outcomes.ended(now, r, wire.End(e.report.How))
 	delete(t.runs, l.Ref)
 	t.touchOwners()
 }
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -60,6 +60,7 @@
 	t.note(BackendLost, wire.RunRef{}, reason)
 	t.endAll(now, wire.EndLost, reason)
 	t.ends = make(map[uint64]*end)
+	t.outcomes = newOutcomes()
 	t.seen, t.acked = 0, 0
 	t.token = 0
 	t.clock, t.clockAt = 0, time.Time{}
--- /dev/null
+++ b/jobs/runtable/outcomes.go
@@ -0,0 +1,57 @@
+package runtable
+
+import (
+	"time"
+
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// smoothing is the weight of one more run in outcomes. Chosen, not measured.
+const smoothing = 0.2
+
+// outcomes is what the runs here were like lately, of all owners together: each owner
+// alone would learn as many times more slowly as there are owners.
+type outcomes struct {
+	slowness float64 // smoothed: time of a run over its estimate
+	failing  float64 // smoothed: share of runs that failed
+}
+
+func newOutcomes() outcomes { return outcomes{slowness: 1} }
+
+// ended takes the end of a run.
+func (o *outcomes) ended(now time.Time, r *run, how wire.End) {
+	switch how {
+	case wire.EndDone:
+		o.ran(r.slowness(now))
+		o.failing -= smoothing * o.failing
+	case wire.EndStraggled:
+		o.ran(r.slowness(now))
+	case wire.EndFailed:
+		o.failing += smoothing * (1 - o.failing)
+	}
+}
+
+func (o *outcomes) ran(slowness float64) { o.slowness += smoothing * (slowness - o.slowness) }
+
+// outcomesNow returns the outcomes as if the runs had ended by now that already take
+// longer than most: a backend server that has become slow, or does nothing, is known
+// before its runs end.
+func (t *Table) outcomesNow(now time.Time) outcomes {
+	o := t.outcomes
+	for _, ref := range t.refs() {
+		r := t.runs[ref]
+		if s := r.slowness(now); r.state == runRunning && s > t.outcomes.slowness {
+			o.ran(s)
+		}
+	}
+	return o
+}
+
+// slowness returns how long the run has been running as a multiple of its estimate; 1
+// if either is not known.
+func (r *run) slowness(now time.Time) float64 {
+	if r.order.EstimateMS <= 0 || r.started.IsZero() || r.needUnknown {
+		return 1
+	}
+	return float64(now.Sub(r.started).Milliseconds()) / float64(r.order.EstimateMS)
+}
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -52,10 +52,11 @@
 	synced   bool // the backend server's list of runs has been read under our token
 	syncedAt time.Time
 
-	runs  map[wire.RunRef]*run
-	ends  map[uint64]*end // by their number
-	seen  uint64          // greatest number of an end that was listed
-	acked uint64          // every end up to it is stored by its owner
+	runs     map[wire.RunRef]*run
+	outcomes outcomes        // of the runs of this life
+	ends     map[uint64]*end // by their number
+	seen     uint64          // greatest number of an end that was listed
+	acked    uint64          // every end up to it is stored by its owner
 
 	renewSeq   uint64
 	unanswered int           // renewals in a row that had no answer
@@ -90,13 +91,14 @@
 // New returns an empty table; now is when the process began.
 func New(cfg Settings, now time.Time) *Table {
 	return &Table{
-		cfg:    cfg,
-		began:  now,
-		runs:   make(map[wire.RunRef]*run),
-		ends:   make(map[uint64]*end),
-		leases: make(map[leaseKey]*ownerLease),
-		owners: make(map[string]*owner),
-		recent: make(map[wire.RunRef]recentEnd),
+		cfg:      cfg,
+		began:    now,
+		runs:     make(map[wire.RunRef]*run),
+		ends:     make(map[uint64]*end),
+		leases:   make(map[leaseKey]*ownerLease),
+		owners:   make(map[string]*owner),
+		recent:   make(map[wire.RunRef]recentEnd),
+		outcomes: newOutcomes(),
 	}
 }
 
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -28,12 +28,13 @@
 
 // fixture is a table with one owner of the job's partition.
 type fixture struct {
-	table *runtable.Table
-	now   time.Time
-	cfg   config.Runs
-	out   runtable.Effects
-	seq   uint64
-	limit int64 // LimitMS of orders
+	table    *runtable.Table
+	now      time.Time
+	cfg      config.Runs
+	out      runtable.Effects
+	seq      uint64
+	limit    int64 // LimitMS of orders
+	estimate int64 // EstimateMS of orders
 }
 
 func newFixture() *fixture {
@@ -114,7 +115,7 @@
 		if r.BestEffort() {
 			epoch = 0
 		}
-		m.Runs = append(m.Runs, wire.RunOrder{Ref: r, Epoch: epoch, BestEffort: r.BestEffort(), Need: durable.Resources{CPU: 1500}, LimitMS: f.limit})
+		m.Runs = append(m.Runs, wire.RunOrder{Ref: r, Epoch: epoch, BestEffort: r.BestEffort(), Need: durable.Resources{CPU: 1500}, LimitMS: f.limit, EstimateMS: f.estimate})
 	}
 	f.table.Start(f.now, owner, m)
 }
@@ -428,6 +429,51 @@
 	})
 })
 
+var _ = Describe("what runs were like", func() {
+	said := func(f *fixture) *wire.WorkerStatus {
+		f.heartbeat(7)
+		var s *wire.WorkerStatus
+		for _, m := range f.take().Sends {
+			if status, ok := m.Message.(*wire.WorkerStatus); ok && m.Owner == owner {
+				s = status
+			}
+		}
+		return s
+	}
+	run := func(f *fixture, index uint32) {
+		f.order(7, ref(index, 1))
+		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
+	}
+
+	It("is told by their time over the estimate, also of those that still run", func() {
+		f := newFixture().ready()
+		f.estimate = 100
+		Expect(said(f).Slowness).To(BeEquivalentTo(100))
+		run(f, 0)
+		f.passHolding(600 * time.Millisecond)
+		Expect(said(f).Slowness).To(BeEquivalentTo(200), "100 and a fifth of the way to 600")
+		f.hold(nil, runtable.ListedEnd{Number: 1, Ref: ref(0, 1), Valid: true, How: wire.EndDone})
+		Expect(said(f).Slowness).To(BeEquivalentTo(200))
+		run(f, 1)
+		f.passHolding(100 * time.Millisecond)
+		Expect(said(f).Slowness).To(BeEquivalentTo(200), "a run that is young says nothing")
+	})
+
+	It("is told by the share that failed, and forgotten with the life", func() {
+		f := newFixture().ready()
+		run(f, 0)
+		f.hold(nil, runtable.ListedEnd{Number: 1, Ref: ref(0, 1), Valid: true, How: wire.EndFailed})
+		Expect(said(f).Failing).To(BeEquivalentTo(20))
+		run(f, 1)
+		f.hold(nil, runtable.ListedEnd{Number: 2, Ref: ref(1, 1), Valid: true, How: wire.EndDone})
+		Expect(said(f).Failing).To(BeEquivalentTo(16))
+		next := identity
+		next.Instance = "i-2"
+		f.table.Identify(f.now, next)
+		Expect(said(f).Failing).To(BeZero())
+	})
+})
+
 var _ = Describe("renewals", func() {
 	unanswered := func(f *fixture) runtable.RenewCall {
 		call, ok := f.table.NextRenewal(f.now)
--- a/jobs/runtable/status.go
+++ b/jobs/runtable/status.go
@@ -22,18 +22,26 @@
 
 // sendStatuses sends a status to the owners who want one.
 func (t *Table) sendStatuses(now time.Time) {
+	var lately *outcomes // worked out once, if anybody gets a status
 	for _, name := range ordered.Keys(t.owners) {
 		o := t.owners[name]
 		if !o.dirty {
 			continue
 		}
+		if lately == nil {
+			now := t.outcomesNow(now)
+			lately = &now
+		}
 		o.dirty = false
-		t.send(name, t.status(now, o))
+		t.send(name, t.status(now, o, lately))
 	}
 }
 
-func (t *Table) status(now time.Time, o *owner) *wire.WorkerStatus {
+func (t *Table) status(now time.Time, o *owner, lately *outcomes) *wire.WorkerStatus {
+	const percent = 100
 	s := &wire.WorkerStatus{
+		Slowness:     uint32(percent * lately.slowness),
+		Failing:      uint32(percent * lately.failing),
 		Stamp:        t.stamp(now),
 		HeartbeatSeq: o.heartbeatSeq,
 		StartSeq:     o.startSeq,
--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -29,11 +29,12 @@
 			continue
 		}
 		out = append(out, candidate{w: w, free: w.free(), jitter: c.random.Float64() * maxJitter})
-		slow = append(slow, w.stats.slowness)
+		slow = append(slow, w.slowness())
 	}
 	slices.Sort(slow)
 	for i := range out {
-		out[i].ejected = c.ejected(now, out[i].w, slow[len(slow)/2])
+		c.judge(out[i].w, slow[len(slow)/2])
+		out[i].ejected = out[i].w.ejected(now)
 	}
 	return out
 }
--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -21,6 +21,8 @@
 	WorkerDown         Decision = "worker_down"         // its connection is lost
 	WorkerSilent       Decision = "worker_silent"       // its connection is given up
 	WorkerWrittenOff   Decision = "worker_written_off"  // it did not say what it runs of a partition, and is dead for certain
+	WorkerEjected      Decision = "worker_ejected"      // its runs are slow or fail: it gets probes alone
+	WorkerRestored     Decision = "worker_restored"     // no longer
 	PartitionAcquired  Decision = "partition_acquired"  // its jobs are ours
 	PartitionReleased  Decision = "partition_released"  // another owner has it, or will
 	PartitionSuspended Decision = "partition_suspended" // our lease on it may be over, or lasts again
@@ -33,12 +35,14 @@
 
 // The figures of notes.
 const (
-	JobAgeMS        Measure = "job_age_ms" // since the job came
-	RunMS           Measure = "run_ms"     // how long the run took, by its worker
-	WaitMS          Measure = "wait_ms"    // how long the job would have waited; the limit is how long it may
-	SilentMS        Measure = "silent_ms"  // since the worker's last status
-	RunsThere       Measure = "runs_there" // runs of ours at the worker
-	OpenJobs        Measure = "open_jobs"  // jobs that are not final
+	JobAgeMS        Measure = "job_age_ms"       // since the job came
+	RunMS           Measure = "run_ms"           // how long the run took, by its worker
+	WaitMS          Measure = "wait_ms"          // how long the job would have waited; the limit is how long it may
+	SilentMS        Measure = "silent_ms"        // since the worker's last status
+	RunsThere       Measure = "runs_there"       // runs of ours at the worker
+	SlownessPercent Measure = "slowness_percent" // of the estimates; the limit is where an outlier begins
+	FailingPercent  Measure = "failing_percent"  // of the latest runs
+	OpenJobs        Measure = "open_jobs"        // jobs that are not final
 	PartitionNumber Measure = "partition"
 )
 
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -75,8 +75,8 @@
 func (c *Core) orderRun(now time.Time, epoch uint64, t *task, cand *candidate, orders map[*worker]*wire.StartRuns) {
 	w := cand.w
 	cand.free = cand.free.Sub(t.step.Need)
-	if w.stats.failing >= outlierFailing || w.stats.slowness >= outlierSlowness {
-		w.stats.probedAt = now
+	if w.outlier {
+		w.probedAt = now
 	}
 	t.nextRun(epoch)
 	c.assign(now, t, w)
@@ -93,6 +93,7 @@
 		Spec:       t.job.sub.Spec,
 		Need:       t.step.Need,
 		Checkpoint: t.check,
+		EstimateMS: t.step.EstimateMS,
 		LimitMS:    c.limitOf(t).Milliseconds(),
 	})
 	c.note(Note{What: RunOrdered, Task: t.id.String(), Run: t.run, Worker: w.name, Measure: JobAgeMS, Value: t.job.age(now), Frequent: true})
--- a/jobs/scheduler/outliers.go
+++ b/jobs/scheduler/outliers.go
@@ -2,47 +2,47 @@
 
 import "time"
 
-// runStats is what a worker's runs were like lately, for outlier detection.
-type runStats struct {
-	slowness float64 // smoothed: time of a run over its estimate
-	failing  float64 // smoothed: share of runs that failed
-	probedAt time.Time
-}
-
-// newRunStats returns those of a worker that nothing is known of.
-func newRunStats() runStats { return runStats{slowness: 1} }
-
-// Bounds of outlier detection. Chosen, not measured; that a worker that fails
-// runs counts for less was measured at 0.873 and 0.872 in worth, 0.003 and 0.001
-// of requests failed (docs/measurements/0006).
+// Bounds of outlier detection, in the percent of WorkerStatus. Chosen, not measured;
+// that a worker that fails runs counts for less was measured at 0.873 and 0.872 in
+// worth, 0.003 and 0.001 of requests failed (docs/measurements/0006).
 const (
-	smoothing       = 0.2         // weight of one more run
+	sound           = 100         // slowness of a worker of which nothing is known
 	outlierSlowness = 2.2         // times the median of its peers
-	outlierFailing  = 0.35        // share of runs that failed
+	outlierFailing  = 35          // share of runs that failed
 	probeEvery      = time.Second // an outlier gets one task so often, to see whether it has recovered
 )
 
-func (s *runStats) ran(slowness float64) {
-	s.slowness += smoothing * (slowness - s.slowness)
-	s.failing -= smoothing * s.failing
+// slowness returns what the worker says of the time of its latest runs, in percent of
+// their estimates.
+func (w *worker) slowness() float64 {
+	if w.status.Slowness == 0 {
+		return sound
+	}
+	return float64(w.status.Slowness)
 }
 
-func (s *runStats) failed() { s.failing += smoothing * (1 - s.failing) }
+// failing returns the share of the worker's latest runs that failed.
+func (w *worker) failing() float64 { return float64(w.status.Failing) / 100 }
 
-// ejected returns whether the worker is an outlier that is not due for a probe:
-// its runs take far longer than its peers', or fail too often.
-func (c *Core) ejected(now time.Time, w *worker, median float64) bool {
-	if w.stats.slowness < outlierSlowness*median && w.stats.failing < outlierFailing {
-		return false
+// judge notes whether the worker is an outlier: its runs take far longer than its
+// peers', or fail too often.
+func (c *Core) judge(w *worker, median float64) {
+	outlier := w.slowness() >= outlierSlowness*median || w.status.Failing >= outlierFailing
+	if outlier == w.outlier {
+		return
 	}
-	return len(w.assigned) > 0 || now.Sub(w.stats.probedAt) < probeEvery
+	w.outlier = outlier
+	n := Note{What: WorkerRestored, Worker: w.name, Measure: SlownessPercent, Value: int64(w.slowness()), Limit: int64(outlierSlowness * median)}
+	if outlier {
+		n.What = WorkerEjected
+	}
+	if w.status.Failing >= outlierFailing {
+		n.Measure, n.Value, n.Limit = FailingPercent, int64(w.status.Failing), outlierFailing
+	}
+	c.note(n)
 }
 
-// slowness returns how long a run took as a multiple of its estimate; 1 if either
-// is not known.
-func slowness(t *task, runMS int64) float64 {
-	if t.step.EstimateMS <= 0 || runMS <= 0 {
-		return 1
-	}
-	return float64(runMS) / float64(t.step.EstimateMS)
+// ejected returns whether the worker is an outlier that is not due for a probe.
+func (w *worker) ejected(now time.Time) bool {
+	return w.outlier && (len(w.assigned) > 0 || now.Sub(w.probedAt) < probeEvery)
 }
--- a/jobs/scheduler/placement.go
+++ b/jobs/scheduler/placement.go
@@ -59,9 +59,9 @@
 		worth += worthPreferred
 	}
 	if len(t.failures) > 0 {
-		worth -= worthFailingAgain * w.stats.failing
+		worth -= worthFailingAgain * w.failing()
 	} else {
-		worth -= worthFailing * w.stats.failing
+		worth -= worthFailing * w.failing()
 	}
 	if w.dataCentre == c.cfg.DataCentre {
 		worth += worthDataCentre
--- a/jobs/scheduler/retries.go
+++ b/jobs/scheduler/retries.go
@@ -18,12 +18,10 @@
 	}
 	switch how {
 	case wire.EndDone:
-		w.stats.ran(slowness(t, e.RunMS))
 		c.taskDone(now, t)
 	case wire.EndFailed:
 		c.runFailed(now, w, t, e)
 	case wire.EndStraggled:
-		w.stats.ran(slowness(t, e.RunMS))
 		t.straggles++
 		t.avoid = append(t.avoid, w.name)
 		c.enqueue(now, t)
@@ -52,7 +50,6 @@
 // runFailed orders the task again, elsewhere if it can be, unless its attempts
 // are spent.
 func (c *Core) runFailed(now time.Time, w *worker, t *task, e *wire.RunEnd) {
-	w.stats.failed()
 	t.avoid = append(t.avoid, w.name)
 	if t.failed(e.Ref.Run) >= t.job.sub.Queue.MaxAttempts {
 		c.finish(now, t.job, durable.Failed, "attempts_spent")
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -27,15 +27,17 @@
 
 // fixture is a core that owns the partition of one job, with workers.
 type fixture struct {
-	core   *scheduler.Core
-	cfg    config.Scheduler
-	now    time.Time
-	stamp  int64
-	starts map[string]uint64 // newest StartRuns of each worker
+	core     *scheduler.Core
+	cfg      config.Scheduler
+	now      time.Time
+	stamp    int64
+	starts   map[string]uint64 // newest StartRuns of each worker
+	failing  map[string]uint32 // what each worker says of its runs
+	slowness map[string]uint32
 }
 
 func newFixture() *fixture {
-	f := &fixture{cfg: config.DefaultScheduler(), now: time.Unix(1000, 0), starts: make(map[string]uint64)}
+	f := &fixture{cfg: config.DefaultScheduler(), now: time.Unix(1000, 0), starts: make(map[string]uint64), failing: make(map[string]uint32), slowness: make(map[string]uint32)}
 	f.core = scheduler.New(f.cfg.Core("nadi"), 1)
 	return f
 }
@@ -57,7 +59,7 @@
 func (f *fixture) status(name string, free int64) {
 	f.stamp++
 	f.core.Status(f.now, name, &wire.WorkerStatus{
-		Stamp: f.stamp, Ready: true, StartSeq: f.starts[name], Free: durable.Resources{CPU: free, Memory: 1000},
+		Stamp: f.stamp, Ready: true, StartSeq: f.starts[name], Failing: f.failing[name], Slowness: f.slowness[name], Free: durable.Resources{CPU: free, Memory: 1000},
 		Identity: &wire.BackendIdentity{Instance: "i-" + name, Service: "s", Capacity: durable.Resources{CPU: 4000, Memory: 1000}},
 	})
 }
@@ -683,6 +685,7 @@
 				how := wire.EndDone
 				if runs[0].worker == "bad" {
 					how = wire.EndFailed
+					f.failing["bad"] += (100 - f.failing["bad"]) / 5
 				}
 				f.end(runs[0], how)
 				f.now = f.now.Add(10 * time.Millisecond)
@@ -693,6 +696,37 @@
 		Expect(served["bad"]).To(BeNumerically("<", served["good"]/4))
 	})
 
+	It("sends one task a second to a worker that is far slower than its peers, until it is not", func() {
+		f := newFixture()
+		for _, name := range []string{"slow", "a", "b"} {
+			f.worker(name)
+		}
+		at := func(i int) map[string]int {
+			served := make(map[string]int)
+			for k := range 6 {
+				s := bestEffort(1)
+				s.ID = durable.JobID(fmt.Sprintf("%08x%08x", i, k))
+				f.core.Submit(f.now, scheduler.Call(100*i+k), s, 0)
+				for _, r := range f.orders(f.core.Take(f.now)) {
+					served[r.worker]++
+				}
+			}
+			f.status("slow", 4000)
+			f.status("a", 4000)
+			f.status("b", 4000)
+			return served
+		}
+		f.slowness["slow"], f.slowness["a"], f.slowness["b"] = 300, 120, 130
+		f.status("slow", 4000)
+		f.status("a", 4000)
+		f.status("b", 4000)
+		Expect(at(1)["slow"]).To(BeNumerically("<=", 1), "a probe at most")
+		Expect(at(2)["slow"]).To(BeZero())
+		f.slowness["slow"] = 200
+		f.status("slow", 4000)
+		Expect(at(3)["slow"]).To(BeNumerically(">", 1))
+	})
+
 	It("runs a task that has failed where runs fail least, though more is free elsewhere", func() {
 		f := newFixture()
 		f.worker("first")
@@ -712,6 +746,7 @@
 			return runs[0]
 		}
 		f.end(runAt("failing", 1), wire.EndFailed)
+		f.failing["failing"] = 20
 		f.core.Abandon(f.now, 1, "0000000000000001")
 		f.core.Take(f.now)
 		f.end(runAt("first", 2), wire.EndFailed)
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -23,8 +23,9 @@
 	beatSeq    uint64    // of the newest heartbeat
 	startSeq   uint64    // of the newest StartRuns
 	assigned   map[*task]struct{}
-	queried    []*task // asked about since the connection is new
-	stats      runStats
+	queried    []*task   // asked about since the connection is new
+	outlier    bool      // its runs are slow or fail, by its status
+	probedAt   time.Time // when it last got a task as an outlier
 }
 
 // tasks returns the tasks that are with the worker, in their order.
@@ -47,7 +48,7 @@
 	if c.workers[name] != nil {
 		return
 	}
-	w := &worker{name: name, assigned: make(map[*task]struct{}), stats: newRunStats()}
+	w := &worker{name: name, assigned: make(map[*task]struct{})}
 	c.workers[name] = w
 	c.order = insertByName(c.order, w)
 	c.eligible = insertByName(c.eligible, w)
@@ -95,9 +96,6 @@
 	}
 	first := w.status.Stamp == 0
 	if m.Identity != nil {
-		if m.Identity.Instance != w.identity.Instance && !first {
-			w.stats = newRunStats()
-		}
 		w.identity = *m.Identity
 	}
 	w.status = *m
--- a/jobs/scheduler/worth_test.go
+++ b/jobs/scheduler/worth_test.go
@@ -38,7 +38,7 @@
 	rank := func(cand *candidate) []float64 {
 		return []float64{
 			truth(!t.avoids(cand.w)), truth(hasLabel(cand.w, t.step.Affinity)),
-			-cand.w.stats.failing, truth(cand.w.preference == Preferred), cand.share(), truth(cand.w.dataCentre == c.cfg.DataCentre),
+			-cand.w.failing(), truth(cand.w.preference == Preferred), cand.share(), truth(cand.w.dataCentre == c.cfg.DataCentre),
 		}
 	}
 	ra, rb := rank(a), rank(b)
@@ -78,6 +78,6 @@
 	w := &worker{name: []string{"w1", "w2", "w3"}[r.IntN(3)], dataCentre: []string{"nadi", "lautoka"}[r.IntN(2)]}
 	w.identity = wire.BackendIdentity{Capacity: durable.Resources{CPU: 16000}, Labels: []string{[]string{"r1", "r2"}[r.IntN(2)]}}
 	w.preference = []Preference{Shared, Preferred}[r.IntN(2)]
-	w.stats = runStats{slowness: 1, failing: float64(r.IntN(3)) * 0.1}
+	w.status.Failing = uint32(r.IntN(3)) * 10
 	return candidate{w: w, free: durable.Resources{CPU: r.Int64N(16000)}, jitter: r.Float64() * maxJitter}
 }
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -43,6 +43,8 @@
 	StartSeq     uint64            // the newest StartRuns that was handled
 	Ready        bool              // takes new tasks
 	Free         durable.Resources // after what runs there; may be negative
+	Slowness     uint32            // time of its latest runs over their estimates, smoothed, in percent; 0 if not known
+	Failing      uint32            // share of its latest runs that failed, smoothed, in percent
 	Fenced       []uint32          // partitions of the receiver that another owner has claimed
 	Identity     *BackendIdentity  // nil while it is that of the last status on the connection
 }
@@ -69,6 +71,7 @@
 	Spec       string
 	Need       durable.Resources
 	Checkpoint string
+	EstimateMS int64 // how long the run is thought to take; 0 if that is not known
 	LimitMS    int64 // a run that takes longer is a straggler, and stopped; 0 sets no limit
 }
 
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -1140,8 +1140,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	// array header, size 2
 	o = append(o, 0x92)
 	o, err = z.Ref.Task.MarshalMsg(o)
@@ -1159,6 +1159,7 @@
 		return
 	}
 	o = msgp.AppendString(o, z.Checkpoint)
+	o = msgp.AppendInt64(o, z.EstimateMS)
 	o = msgp.AppendInt64(o, z.LimitMS)
 	return
 }
@@ -1171,8 +1172,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1220,6 +1221,11 @@
 		err = msgp.WrapError(err, "Checkpoint")
 		return
 	}
+	z.EstimateMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "EstimateMS")
+		return
+	}
 	z.LimitMS, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "LimitMS")
@@ -1231,7 +1237,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunOrder) Msgsize() (s int) {
-	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Spec) + z.Need.Msgsize() + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.Int64Size
+	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Spec) + z.Need.Msgsize() + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
@@ -1515,8 +1521,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendInt64(o, z.Stamp)
 	o = msgp.AppendUint64(o, z.HeartbeatSeq)
 	o = msgp.AppendUint64(o, z.StartSeq)
@@ -1526,6 +1532,8 @@
 		err = msgp.WrapError(err, "Free")
 		return
 	}
+	o = msgp.AppendUint32(o, z.Slowness)
+	o = msgp.AppendUint32(o, z.Failing)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Fenced)))
 	for za0001 := range z.Fenced {
 		o = msgp.AppendUint32(o, z.Fenced[za0001])
@@ -1550,8 +1558,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Stamp, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1579,6 +1587,16 @@
 		err = msgp.WrapError(err, "Free")
 		return
 	}
+	z.Slowness, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slowness")
+		return
+	}
+	z.Failing, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Failing")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -1623,7 +1641,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerStatus) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + z.Free.Msgsize() + msgp.ArrayHeaderSize + (len(z.Fenced) * (msgp.Uint32Size))
+	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + z.Free.Msgsize() + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Fenced) * (msgp.Uint32Size))
 	if z.Identity == nil {
 		s += msgp.NilSize
 	} else {
