scheduler: refuse at once what could only be late while others can be in time

Cause: a job that had not begun by its latest time to be on time stayed in the queue until its answer was of no use, and took room in moments when the queue of those on time was empty; a run lasts 0.06 to 0.9 s, and the next arrivals missed that room.

Change: while workers take tasks such a job is refused as soon as it could only be late; its caller hears at once, with when to come back.

The spec was seen failing.

--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -27,16 +27,24 @@
 // those that have begun and whose answer is of no use any more. Their callers are
 // answered at once.
 func (c *Core) giveUpUseless(now time.Time) {
+	serving := c.serving(now) > 0
 	for _, j := range ordered.Values(c.bestEffort) {
 		switch {
-		case j.begun() && now.After(j.abandonAt):
-			c.cancelUseless(now, j)
-		case !j.begun() && !now.Before(j.startBy):
+		case j.begun():
+			if now.After(j.abandonAt) {
+				c.cancelUseless(now, j)
+			}
+		case !now.Before(j.startBy), serving && j.tooLateAt(now):
 			c.refuseUnstarted(now, j)
 		}
 	}
 }
 
+// tooLateAt returns whether a job that begins now will be late. While workers take
+// tasks there are others that can still be in time, and they get the room: measured in
+// docs/measurements/0008. While none does, a late answer is the best that there is.
+func (j *job) tooLateAt(now time.Time) bool { return now.After(j.due.Add(-j.longest)) }
+
 // refuseUnstarted refuses a job none of whose tasks has begun: it has not run.
 func (c *Core) refuseUnstarted(now time.Time, j *job) {
 	c.note(Note{What: JobGivenUp, Job: j.id, Measure: JobAgeMS, Value: j.age(now)})
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -596,6 +596,31 @@
 		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.Overloaded)))
 	})
 
+	It("that could only be late is refused as soon as that is known, so that others are in time", func() {
+		f := newFixture()
+		f.worker("w1")
+		s := bestEffort(1) // 100 ms of work, an objective of 220 ms
+		f.status("w1", 4000)
+		f.core.Submit(f.now, 1, s, 0)
+		f.status("w1", 0) // others have taken the room
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.pass(120 * time.Millisecond)
+		f.status("w1", 0)
+		Expect(f.core.Take(f.now).Replies).To(BeEmpty())
+		f.pass(time.Millisecond)
+		Expect(f.core.Take(f.now).Replies).To(ConsistOf(HaveField("Failure", failure.Overloaded)))
+	})
+
+	It("that could only be late waits on while no worker takes tasks", func() {
+		f := newFixture()
+		f.worker("w1")
+		f.status("w1", 0)
+		f.core.Submit(f.now, 1, bestEffort(1), 0)
+		f.core.WorkerDown(f.now, "w1")
+		f.pass(300 * time.Millisecond)
+		Expect(f.core.Take(f.now).Replies).To(BeEmpty())
+	})
+
 	It("whose tasks were all handed back has not begun: it is refused as not run, and yields to others", func() {
 		f := newFixture()
 		f.worker("w1")
