--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unversioned)
 
-.PHONY: build test lint dev bench soak-submissions soak-jobs random mutants fuzz docs generate pairs
+.PHONY: build test lint dev bench soak-submissions soak-jobs random mutants fuzz docs generate pairs ablate
 
 build: ## build bin/lichenfall
 	$(GO) build -trimpath -ldflags "-X github.com/lichenfall/lichenfall/commands.version=$(VERSION)" -o bin/lichenfall .
@@ -46,3 +46,6 @@
 BENCH ?=
 pairs: ## play days of the users' bench in pairs; see scripts/play for ARGS
 	scripts/play $(BENCH) $(ARGS)
+
+ablate: ## switch mechanisms off one by one, in pairs; see scripts/ablate for ARGS
+	scripts/ablate $(BENCH) $(ARGS)
--- a/jobs/runtable/status.go
+++ b/jobs/runtable/status.go
@@ -29,8 +29,8 @@
 			continue
 		}
 		if lately == nil {
-			now := t.outcomesNow(now)
-			lately = &now
+			present := t.outcomesNow(now)
+			lately = &present
 		}
 		o.dirty = false
 		t.send(name, t.status(now, o, lately))
--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -33,7 +33,7 @@
 	}
 	slices.Sort(slow)
 	for i := range out {
-		c.judge(out[i].w, slow[len(slow)/2])
+		c.detectOutlier(out[i].w, slow[len(slow)/2])
 		out[i].ejected = out[i].w.ejected(now)
 	}
 	return out
--- a/jobs/scheduler/outliers.go
+++ b/jobs/scheduler/outliers.go
@@ -24,9 +24,9 @@
 // failing returns the share of the worker's latest runs that failed.
 func (w *worker) failing() float64 { return float64(w.status.Failing) / 100 }
 
-// judge notes whether the worker is an outlier: its runs take far longer than its
+// detectOutlier notes whether the worker is an outlier: its runs take far longer than its
 // peers', or fail too often.
-func (c *Core) judge(w *worker, median float64) {
+func (c *Core) detectOutlier(w *worker, median float64) {
 	outlier := w.slowness() >= outlierSlowness*median || w.status.Failing >= outlierFailing
 	if outlier == w.outlier {
 		return
--- a/scripts/pairs/compare.go
+++ b/scripts/pairs/compare.go
@@ -18,7 +18,10 @@
 // differenceOf returns the mean of the differences and the interval by Student's t;
 // the interval of one pair is not known.
 func differenceOf(x []float64) difference {
-	d := difference{n: len(x), mean: stat.Mean(x, nil), half: math.NaN()}
+	d := difference{n: len(x), half: math.NaN()}
+	if d.n > 0 {
+		d.mean = stat.Mean(x, nil)
+	}
 	if d.n < 2 {
 		return d
 	}
@@ -28,7 +31,16 @@
 	return d
 }
 
-func (d difference) String() string { return fmt.Sprintf("%+.4f ± %.4f", d.mean, d.half) }
+// String returns the difference as the table shows it.
+func (d difference) String() string {
+	switch d.n {
+	case 0:
+		return "not played"
+	case 1:
+		return fmt.Sprintf("%+.4f, one pair", d.mean)
+	}
+	return fmt.Sprintf("%+.4f ± %.4f", d.mean, d.half)
+}
 
 // pairsOf returns the differences in worth of a variant from the base, seed by seed.
 func pairsOf(d *day, base, variant string) []float64 {
