config, platform: keep commits within the writes that the store takes

With enough kept jobs, up to 1,200 writes a second would have gone out, those beyond the rate been refused, and their callers with them.

Change: the settings carry the rate, and commits take three quarters of it at most: 20 ms between two of a partition with 12 and 800.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -60,6 +61,21 @@
 		Entry("frames too small for a payload", strings.Replace(good, `"max_timeout"`, `"max_payload": 1000000, "max_timeout"`, 1)[:2]+`"peers": {"max_frame": 65536}, `+strings.Replace(good, `"max_timeout"`, `"max_payload": 1000000, "max_timeout"`, 1)[2:], "jobs.max_payload"),
 	)
 
+	DescribeTable("keeps commits within the writes that the store takes", func(partitions uint32, writes float64, want time.Duration) {
+		s := config.DefaultScheduler()
+		s.Partitions, s.StoreWrites = partitions, writes
+		gap := s.Core("nadi").CommitGap
+		Expect(gap).To(BeNumerically("~", want, 10*time.Microsecond))
+		if writes > 0 {
+			Expect(float64(partitions) / gap.Seconds()).To(BeNumerically("<", writes))
+		}
+	},
+		Entry("of few partitions", uint32(4), 1500.0, 10*time.Millisecond),
+		Entry("of as many as the gap was made for", uint32(8), 800.0, 13333*time.Microsecond),
+		Entry("of more", uint32(12), 800.0, 20*time.Millisecond),
+		Entry("that are not limited", uint32(12), 0.0, 10*time.Millisecond),
+	)
+
 	It("has an example for each role that loads", func() {
 		for _, r := range config.Roles() {
 			file := filepath.Join("..", "examples", r.Name+".hujson")
--- a/config/scheduler.go
+++ b/config/scheduler.go
@@ -20,8 +20,11 @@
 	BestEffortLease Duration `json:"best_effort_lease"`
 	StopGrace       Duration `json:"stop_grace"`
 	// CommitGap is the least time between two commits of a partition: the store takes
-	// one append in 4 ms, and 8 partitions at 100 a second are its 800 writes.
+	// one append in 4 ms. It is longer where StoreWrites asks for that.
 	CommitGap Duration `json:"commit_gap"`
+	// StoreWrites is how many writes a second the store takes of all processes together;
+	// the users' platform sets it. 0 sets no limit.
+	StoreWrites float64 `json:"store_writes"`
 	// LazyCommit is how long an end may wait that no caller waits for, so that ends
 	// share commits. Chosen, not measured.
 	LazyCommit Duration `json:"lazy_commit"`
@@ -90,6 +93,7 @@
 	c.span("scheduler.stop_grace", s.StopGrace, 0, 10*second)
 	c.span("scheduler.hold_lease", s.BackendLease, Duration(100*time.Millisecond), 60*second)
 	c.span("scheduler.commit_gap", s.CommitGap, 0, second)
+	between(c, "scheduler.store_writes", s.StoreWrites, 0, 1e9)
 	c.span("scheduler.lazy_commit", s.LazyCommit, 0, 10*second)
 	c.span("scheduler.call_limit", s.CallLimit, Duration(10*time.Millisecond), 60*second)
 	c.span("scheduler.retry_after", s.RetryAfter, Duration(10*time.Millisecond), 60*second)
@@ -102,6 +106,22 @@
 	c.span("scheduler.straggler_min", s.StragglerMin, 0, 60*second)
 }
 
+// commitShare is the share of the store's writes that commits may take; the rest is for
+// joins, fences and registrations. Chosen, not measured.
+const commitShare = 0.75
+
+// commitGap returns the least time between two commits of a partition with which all
+// partitions together stay within the store's writes: what is beyond them is refused,
+// and a refused commit refuses its callers.
+func (s *Scheduler) commitGap() time.Duration {
+	gap := s.CommitGap.D()
+	if s.StoreWrites <= 0 {
+		return gap
+	}
+	perPartition := commitShare * s.StoreWrites / float64(s.Partitions)
+	return max(gap, time.Duration(float64(time.Second)/perPartition))
+}
+
 // Core returns the settings of the scheduler's core.
 func (s *Scheduler) Core(dataCentre string) scheduler.Settings {
 	return scheduler.Settings{
@@ -111,7 +131,7 @@
 		Suspect:            s.Suspect.D(),
 		WriteOff:           s.writeOff(s.OwnerLease),
 		BestEffortWriteOff: s.writeOff(s.BestEffortLease),
-		CommitGap:          s.CommitGap.D(),
+		CommitGap:          s.commitGap(),
 		LazyCommit:         s.LazyCommit.D(),
 		CallLimit:          s.CallLimit.D(),
 		RetryAfter:         s.RetryAfter.D(),
--- a/jobs/scheduler/placement.go
+++ b/jobs/scheduler/placement.go
@@ -36,8 +36,8 @@
 // The worth of sending a task to a worker, in shares of the worker's cores that
 // are free: each weight says how much more free room elsewhere would outweigh it.
 // They are no plain order of preference. worthAvoided is so large that nothing but
-// worthFailingAgain outweighs it; the others are traded against room. Chosen, not measured, but where a figure stands (one day each,
-// docs/measurements/0006).
+// worthFailingAgain outweighs it; the others are traded against room. Chosen, not
+// measured, but where a figure stands (one day each, docs/measurements/0006).
 const (
 	worthAvoided      = 10.0 // taken away where a run of the task failed or straggled
 	worthRack         = 2.0  // near the task's data
