--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -25,9 +25,8 @@
 
 // giveUpUseless refuses best-effort jobs that have not begun in time, and cancels
 // those that have begun and whose answer is of no use any more. Their callers are
-// answered at once.
-func (c *Core) giveUpUseless(now time.Time) {
-	serving := c.serving(now) > 0
+// answered at once. serving says whether any worker takes tasks.
+func (c *Core) giveUpUseless(now time.Time, serving bool) {
 	for _, j := range ordered.Values(c.bestEffort) {
 		switch {
 		case j.begun():
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -98,13 +98,14 @@
 
 // Tick does what is due by time.
 func (c *Core) Tick(now time.Time) {
-	if c.servedAt.IsZero() || c.serving(now) > 0 {
+	serving := c.serving(now) > 0
+	if c.servedAt.IsZero() || serving {
 		c.servedAt = now
 	}
 	c.tickWorkers(now)
 	c.tickPartitions(now)
 	c.tickCallers(now)
-	c.giveUpUseless(now)
+	c.giveUpUseless(now, serving)
 	c.tickWatchers(now)
 }
 
--- a/lib/peer/link.go
+++ b/lib/peer/link.go
@@ -33,11 +33,7 @@
 
 // dialLimit returns the limit of an attempt, counted from 0.
 func dialLimit(attempt int) time.Duration {
-	limit := firstDialLimit
-	for i := 0; i < attempt && limit < lastDialLimit; i++ {
-		limit *= 2
-	}
-	return min(limit, lastDialLimit)
+	return retry.Backoff{Base: firstDialLimit, Max: lastDialLimit}.Doubled(attempt)
 }
 
 // Keep holds a connection to addr until ctx ends, dialling again whenever it
--- a/lib/retry/retry.go
+++ b/lib/retry/retry.go
@@ -40,10 +40,16 @@
 // Delay returns the pause before the attempt (counted from 0); u is a random
 // number in [0, 1) that spreads it over the upper half of the range.
 func (b Backoff) Delay(attempt int, u float64) time.Duration {
+	d := b.Doubled(attempt)
+	return d/2 + time.Duration(u*float64(d)/2)
+}
+
+// Doubled returns Base doubled once for each attempt before this one (counted from 0),
+// and Max at most: a delay before its jitter, or a limit that grows.
+func (b Backoff) Doubled(attempt int) time.Duration {
 	d := b.Base
 	for i := 0; i < attempt && d < b.Max; i++ {
 		d *= 2
 	}
-	d = min(d, b.Max)
-	return d/2 + time.Duration(u*float64(d)/2)
+	return min(d, b.Max)
 }
--- a/scripts/pairs/compare.go
+++ b/scripts/pairs/compare.go
@@ -82,40 +82,43 @@
 // variant what became of the calls.
 func table(days []day, variants []string) string {
 	var b strings.Builder
-	base := variants[0]
-	b.WriteString("| day | pairs | " + base)
-	for _, v := range variants[1:] {
-		b.WriteString(" | " + v)
+	writeDifferences(&b, days, variants)
+	b.WriteString("\n| variant | worth | in time % | late % | refused % | failed % | p99 ms | days with a broken rule |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, v := range variants {
+		b.WriteString(sharesOf(days, v).row(v))
 	}
-	b.WriteString(" |\n| --- |" + strings.Repeat(" --- |", len(variants)+1) + "\n")
+	return b.String()
+}
+
+// writeDifferences writes a row for each day, and one for all.
+func writeDifferences(b *strings.Builder, days []day, variants []string) {
+	base, others := variants[0], variants[1:]
+	b.WriteString("| day | pairs | " + strings.Join(variants, " | ") + " |\n| --- |" + strings.Repeat(" --- |", len(variants)+1) + "\n")
 	all := make(map[string][]float64)
 	for i := range days {
-		d := &days[i]
-		var s shares
-		for _, r := range d.reports[base] {
-			s.add(r)
-		}
-		fmt.Fprintf(&b, "| %s | %d | %.4f", d.name, len(s.worth), stat.Mean(s.worth, nil))
-		for _, v := range variants[1:] {
-			x := pairsOf(d, base, v)
+		s := sharesOf(days[i:i+1], base)
+		fmt.Fprintf(b, "| %s | %d | %.4f", days[i].name, len(s.worth), stat.Mean(s.worth, nil))
+		for _, v := range others {
+			x := pairsOf(&days[i], base, v)
 			all[v] = append(all[v], x...)
 			b.WriteString(" | " + differenceOf(x).String())
 		}
 		b.WriteString(" |\n")
 	}
 	b.WriteString("| all | |")
-	for _, v := range variants[1:] {
+	for _, v := range others {
 		b.WriteString(" | " + differenceOf(all[v]).String())
 	}
-	b.WriteString(" |\n\n| variant | worth | in time % | late % | refused % | failed % | p99 ms | days with a broken rule |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
-	for _, v := range variants {
-		var s shares
-		for i := range days {
-			for _, r := range days[i].reports[v] {
-				s.add(r)
-			}
+	b.WriteString(" |\n")
+}
+
+// sharesOf adds up the reports of a variant on the days.
+func sharesOf(days []day, variant string) *shares {
+	s := &shares{}
+	for i := range days {
+		for _, r := range days[i].reports[variant] {
+			s.add(r)
 		}
-		b.WriteString(s.row(v))
 	}
-	return b.String()
+	return s
 }
