runtable, worker, platform: let no late heartbeat take a living backend server's runs

Cause: every change of instance counted as a new life, and the number that heartbeats carry was not read. A heartbeat of a crashed life that the wire had held up ended all runs of the living one, which were then started anew elsewhere while they still ran. Change: a life that is over never comes back; reports of one life count by number, also for draining and capacity; any other life is believed when it has answered a renewal without a token itself, asked after its report came. A late deregistration does nothing, one of the present life ends new orders.

--- a/jobs/fakebackend/backend.go
+++ b/jobs/fakebackend/backend.go
@@ -25,6 +25,7 @@
 
 	mu       sync.Mutex
 	instance string
+	reports  uint64 // heartbeats so far
 	born     time.Time
 	token    uint64
 	deadline time.Duration // of the lease, on its own clock
@@ -76,9 +77,18 @@
 	}
 }
 
-// Identity returns what its heartbeats say.
-func (l *Backend) Identity() runtable.Identity {
-	return runtable.Identity{Instance: l.instance, Service: l.Service, Ready: true, Capacity: l.Capacity}
+// Instance returns the name of its life.
+func (l *Backend) Instance() string { return l.instance }
+
+// Report returns what its next heartbeat says.
+func (l *Backend) Report() runtable.Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reports++
+	return runtable.Report{
+		Number:   l.reports,
+		Identity: runtable.Identity{Instance: l.instance, Service: l.Service, Ready: true, Capacity: l.Capacity},
+	}
 }
 
 // Starts returns how often each task has been started.
--- a/jobs/local/cluster.go
+++ b/jobs/local/cluster.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.Heartbeat(c.Backends[i].Identity())
+	w.Reported(c.Backends[i].Report())
 	return w, nil
 }
 
--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -30,7 +30,10 @@
 	refusing bool    // takes no orders to start for now
 	silent   bool    // answers nothing, and carries out a part of what it is told
 	lateBy   float64 // share of orders that are carried out late
-	lapsedAt time.Time
+	reports  uint64  // heartbeats of this life so far
+	// lateReports is the share of heartbeats that are held up on their way.
+	lateReports float64
+	lapsedAt    time.Time
 }
 
 type liveRun struct {
@@ -58,10 +61,20 @@
 	b.newest = make(map[durable.TaskID]uint32)
 	b.ended = nil
 	b.count = 0
+	b.reports = 0
 }
 
 func (b *backendNode) crash() { b.up = false }
 
+// report returns what the next heartbeat says.
+func (b *backendNode) report(name string) runtable.Report {
+	b.reports++
+	return runtable.Report{
+		Number:   b.reports,
+		Identity: runtable.Identity{Instance: b.instance(name), Service: "s", Ready: true, Capacity: b.capacity},
+	}
+}
+
 func (b *backendNode) instance(name string) string { return fmt.Sprintf("%s/%d", name, b.life) }
 
 // clock starts above zero, as that of a life that began some time ago.
--- a/jobs/promises/random_test.go
+++ b/jobs/promises/random_test.go
@@ -87,7 +87,7 @@
 // were when their seeds were found, since other kinds play another case.
 const (
 	firstFaults = 13
-	allFaults   = 16
+	allFaults   = 17
 )
 
 // playCase plays one case: jobs, and faults of the first kinds drawn from the
@@ -147,6 +147,7 @@
 		{"silent backend", func() { w.silenceBackend(w.random.IntN(workerCount)) }},
 		{"refusing backend", func() { w.refuseOrders(w.random.IntN(workerCount)) }},
 		{"other preferences", func() { w.prefer(w.coordinators[w.random.IntN(coordinatorCount)]) }},
+		{"late heartbeats", func() { w.lateHeartbeats(w.random.IntN(workerCount)) }},
 	}
 	f := faults[w.random.IntN(kinds)]
 	w.counts["fault: "+f.name]++
@@ -275,6 +276,15 @@
 	w.after(w.between(time.Second, 5*time.Second), func() { b.lateBy = 0 })
 }
 
+// lateHeartbeats holds heartbeats up, and crashes the backend server meanwhile: some
+// come when its next life has registered.
+func (w *world) lateHeartbeats(i int) {
+	b := w.workers[i].backend
+	b.lateReports = 0.5
+	w.after(w.between(500*time.Millisecond, 3*time.Second), func() { w.crashBackend(i) })
+	w.after(w.between(3*time.Second, 8*time.Second), func() { b.lateReports = 0 })
+}
+
 func (w *world) failBackend(i int) {
 	b := w.workers[i].backend
 	b.failing = true
@@ -332,6 +342,7 @@
 			n.start()
 		}
 		n.backend.lateBy = 0
+		n.backend.lateReports = 0
 		n.backend.failing = false
 		n.backend.refusing = false
 		n.backend.silent = false
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -22,14 +22,32 @@
 	return n
 }
 
-func (n *workerNode) identify() {
+// hear takes the heartbeats of the backend server. Some are held up on their way, also
+// beyond the end of the life that sent them.
+func (n *workerNode) hear() {
 	if n.backend.up {
-		n.table.Identify(n.w.now, runtable.Identity{
-			Instance: n.backend.instance(n.name), Service: "s", Ready: true, Capacity: n.backend.capacity,
-		})
-		n.perform()
+		report := n.backend.report(n.name)
+		take := func() {
+			if n.alive {
+				n.post(n.life, func() { n.table.Reported(n.w.now, report); n.perform() })
+			}
+		}
+		if n.w.chance(n.backend.lateReports) {
+			n.w.counts["late heartbeats"]++
+			n.w.after(n.w.between(100*time.Millisecond, 8*time.Second), take)
+		} else {
+			take()
+		}
 	}
-	n.later(500*time.Millisecond, n.identify)
+	n.later(500*time.Millisecond, n.hear)
+}
+
+// ask asks the backend server whether it is the life that the call names.
+func (n *workerNode) ask(call runtable.RenewCall) {
+	n.renew(call, func(a runtable.RenewAnswer) {
+		n.table.Asked(n.w.now, call, a.Result)
+		n.perform()
+	})
 }
 
 // holdAgain makes one hold after another.
@@ -40,15 +58,22 @@
 		n.later(50*time.Millisecond, n.holdAgain)
 		return
 	}
+	n.renew(call, func(a runtable.RenewAnswer) {
+		n.table.RenewAnswered(n.w.now, call, a)
+		n.perform()
+		n.later(15*time.Millisecond, n.holdAgain)
+	})
+}
+
+// renew plays a renewal; one without an answer is given up after a while.
+func (n *workerNode) renew(call runtable.RenewCall, answered func(runtable.RenewAnswer)) {
 	done := false
 	finish := func(a runtable.RenewAnswer) {
 		if done {
 			return
 		}
 		done = true
-		n.table.RenewAnswered(n.w.now, call, a)
-		n.perform()
-		n.later(15*time.Millisecond, n.holdAgain)
+		answered(a)
 	}
 	n.order(func() runtable.RenewAnswer {
 		if !n.backend.up {
@@ -140,7 +165,7 @@
 	n.inbox = nil
 	n.table = runtable.New(n.w.runs.Core(), n.w.now)
 	n.conns = make(map[string]*conn)
-	n.later(n.w.between(0, 100*time.Millisecond), n.identify)
+	n.later(n.w.between(0, 100*time.Millisecond), n.hear)
 	n.later(tickEvery, n.tick)
 	n.later(5*time.Millisecond, n.holdAgain)
 }
@@ -174,6 +199,9 @@
 	for _, call := range e.Stops {
 		n.stopRun(call)
 	}
+	if e.Ask != nil {
+		n.ask(*e.Ask)
+	}
 }
 
 func (n *workerNode) message(c *conn, m wire.Message) {
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -10,6 +10,7 @@
 	BackendLost      Decision = "backend_lost"       // its life is over; all its runs with it
 	BackendSilent    Decision = "backend_silent"     // it does not answer: no new runs, no renewals
 	BackendAnswers   Decision = "backend_answers"    // it answers again
+	ReportLate       Decision = "report_late"        // of a life that is over, or overtaken by a later one
 	OwnerLeaseEnded  Decision = "owner_lease_ended"  // no heartbeat in time: the owner's runs are stopped
 	LeaseLapsing     Decision = "lease_lapsing"      // nothing is renewed until the backend server has ended all
 	LeaseLapsed      Decision = "lease_lapsed"       // all that ran is dead for certain
@@ -24,6 +25,8 @@
 	reasonSilent              = "backend_silent"     // the backend server does not answer
 	reasonNoAnswer            = "no_answer"          // to one call
 	reasonRefused             = "connection_refused" // nothing listens any more
+	reasonLifeOver            = "life_over"          // the backend server has another life now
+	reasonOvertaken           = "overtaken"          // a report that was sent later has come before
 )
 
 // Note is a decision worth a line in the log.
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -10,7 +10,7 @@
 
 // Identity describes one life of the backend server.
 type Identity struct {
-	Instance string // changes with each life
+	Instance string // changes with each life, and never comes back
 	Service  string
 	Ready    bool // neither draining nor leaving
 	Capacity durable.Resources
@@ -31,11 +31,15 @@
 // Identity returns the life that the table speaks of.
 func (t *Table) Identity() Identity { return t.identity }
 
-// Identify tells the table of the backend server's life. A new life ends
-// everything of the one before.
+// Identify tells the table which life the backend server is in, by its own answer to
+// a question. A new life ends everything of the one before, which never comes back.
 func (t *Table) Identify(now time.Time, id Identity) {
-	if t.known && id.Instance != t.identity.Instance {
-		t.lifeOver(now, "new_instance")
+	if id.Instance != t.identity.Instance {
+		t.supersede(t.identity.Instance)
+		t.reportNumber = 0
+		if t.known {
+			t.lifeOver(now, "new_instance")
+		}
 	}
 	before, known := t.identity, t.known
 	if id.Capacity == (durable.Resources{}) {
--- /dev/null
+++ b/jobs/runtable/lives.go
@@ -0,0 +1,130 @@
+package runtable
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// Report is what the backend server says of itself without being asked. It may have
+// been long on its way: the life that sent it may be over, and it may come after a
+// later one of the same life.
+type Report struct {
+	Identity
+	Number uint64 // rises with each report of a life; 0 where it has none
+}
+
+// maxSuperseded is how many lives that are over are remembered. Chosen, not measured:
+// a report that is later than so many crashes is not expected, and would only be asked
+// about once more.
+const maxSuperseded = 16
+
+// lastReport is the number of a report after which none of the life counts.
+const lastReport = math.MaxUint64
+
+// Reported takes a report. One of the life in force counts if none that was sent later
+// has come. One of any other life is believed once the backend server has answered under
+// that name to a question asked after the report came: so a report of a crashed life,
+// which the wire has held up, ends nothing of the living one.
+func (t *Table) Reported(now time.Time, r Report) {
+	switch {
+	case slices.Contains(t.superseded, r.Instance):
+		t.noteFrequent(ReportLate, wire.RunRef{}, reasonLifeOver)
+	case t.known && r.Instance == t.identity.Instance:
+		t.reportedAgain(now, r)
+	default:
+		t.addCandidate(r)
+		t.askNext()
+	}
+}
+
+// reportedAgain takes a report of the life in force.
+func (t *Table) reportedAgain(now time.Time, r Report) {
+	if r.Number != 0 && r.Number <= t.reportNumber {
+		t.noteFrequent(ReportLate, wire.RunRef{}, reasonOvertaken)
+		return
+	}
+	t.reportNumber = r.Number
+	t.Identify(now, r.Identity)
+}
+
+// addCandidate keeps the newest report of a life that is not known to live.
+func (t *Table) addCandidate(r Report) {
+	for i := range t.candidates {
+		if c := &t.candidates[i]; c.Instance == r.Instance {
+			if r.Number == 0 || r.Number > c.Number {
+				*c = r
+			}
+			return
+		}
+	}
+	t.candidates = append(t.candidates, r)
+}
+
+// askNext asks the backend server whether it is the first of the candidates. One
+// question is on its way at a time, so that answers come in the order of the questions.
+func (t *Table) askNext() {
+	if t.asking != "" || len(t.candidates) == 0 {
+		return
+	}
+	t.asking = t.candidates[0].Instance
+	t.effects.Ask = &RenewCall{Instance: t.asking, Limit: t.cfg.CallLimit}
+}
+
+// Asked takes the answer to the question of Effects.Ask: a RenewCall without a token,
+// which renews nothing. It is answered, or refused for its token, by that life alone.
+func (t *Table) Asked(now time.Time, call RenewCall, result RenewResult) {
+	if call.Instance != t.asking {
+		return
+	}
+	t.asking = ""
+	switch result {
+	case RenewUnanswered:
+	case RenewOK, RenewFenced:
+		c := t.takeCandidate(call.Instance)
+		t.Identify(now, c.Identity)
+		t.reportNumber = c.Number
+	case RenewWrongLife:
+		t.takeCandidate(call.Instance)
+		t.supersede(call.Instance)
+		t.note(ReportLate, wire.RunRef{}, reasonLifeOver)
+	case RenewDead:
+		// Whichever life it was, its next report asks again.
+		t.takeCandidate(call.Instance)
+	}
+	t.askNext()
+}
+
+// takeCandidate removes the candidate and returns it.
+func (t *Table) takeCandidate(instance string) Report {
+	at := slices.IndexFunc(t.candidates, func(c Report) bool { return c.Instance == instance })
+	c := t.candidates[at]
+	t.candidates = slices.Delete(t.candidates, at, at+1)
+	return c
+}
+
+// Deregistered takes the backend server's word that the life ends: it takes no more
+// tasks, and no report of it counts any more.
+func (t *Table) Deregistered(now time.Time, instance string) {
+	if !t.known || instance != t.identity.Instance {
+		t.noteFrequent(ReportLate, wire.RunRef{}, reasonLifeOver)
+		return
+	}
+	t.reportNumber = lastReport
+	id := t.identity
+	id.Ready = false
+	t.Identify(now, id)
+}
+
+// supersede notes that the life is over for good.
+func (t *Table) supersede(instance string) {
+	if instance == "" || slices.Contains(t.superseded, instance) {
+		return
+	}
+	t.superseded = append(t.superseded, instance)
+	if len(t.superseded) > maxSuperseded {
+		t.superseded = t.superseded[1:]
+	}
+}
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -45,12 +45,17 @@
 	began time.Time // when the process began; stamps count from it
 
 	identity Identity
-	known    bool          // identity holds a life
-	token    uint64        // fencing token; 0 until the backend server's clock is known
-	clock    time.Duration // of the backend server, as of clockAt
-	clockAt  time.Time
-	synced   bool // the backend server's list of runs has been read under our token
-	syncedAt time.Time
+	known    bool // identity holds a life
+	// reportNumber is that of the newest report of the life.
+	reportNumber uint64
+	superseded   []string      // lives that are over, the latest last
+	candidates   []Report      // of lives that may be the present one, in the order in which they came
+	asking       string        // the candidate that is asked about; empty when none is
+	token        uint64        // fencing token; 0 until the backend server's clock is known
+	clock        time.Duration // of the backend server, as of clockAt
+	clockAt      time.Time
+	synced       bool // the backend server's list of runs has been read under our token
+	syncedAt     time.Time
 
 	runs     map[wire.RunRef]*run
 	outcomes outcomes        // of the runs of this life
@@ -85,7 +90,8 @@
 	Starts []StartCall
 	Stops  []StopCall
 	Notes  []Note
-	Renew  bool // ask for NextRenewal soon
+	Renew  bool       // ask for NextRenewal soon
+	Ask    *RenewCall // to be made and answered by Asked; nil when there is none
 }
 
 // New returns an empty table; now is when the process began.
--- a/jobs/worker/events.go
+++ b/jobs/worker/events.go
@@ -61,10 +61,31 @@
 	}
 }
 
-// backendHeard is what the backend server says of itself.
-type backendHeard struct{ identity runtable.Identity }
+// backendReported is what the backend server says of itself without being asked.
+type backendReported struct{ report runtable.Report }
 
-func (e backendHeard) apply(w *Worker, now time.Time) { w.identified(now, e.identity) }
+func (e backendReported) apply(w *Worker, now time.Time) {
+	w.followIdentity(func() { w.table.Reported(now, e.report) })
+}
+
+// backendDeregistered is the word of a life of the backend server that it ends.
+type backendDeregistered struct{ instance string }
+
+func (e backendDeregistered) apply(w *Worker, now time.Time) {
+	w.log.Info("backend_deregistered", zap.String("instance", e.instance))
+	w.followIdentity(func() { w.table.Deregistered(now, e.instance) })
+}
+
+// backendAsked is the answer to the question whether the backend server is the life
+// that the call names.
+type backendAsked struct {
+	call   runtable.RenewCall
+	result runtable.RenewResult
+}
+
+func (e backendAsked) apply(w *Worker, now time.Time) {
+	w.followIdentity(func() { w.table.Asked(now, e.call, e.result) })
+}
 
 // backendFound is what was asked of a backend server that was there before us, or
 // read of it in the store. What it says of itself goes before.
@@ -75,16 +96,19 @@
 	unknown := known.Instance == ""
 	onlyByName := known.Instance == e.identity.Instance && known.Service == ""
 	if unknown || onlyByName {
-		w.identified(now, e.identity)
+		w.followIdentity(func() { w.table.Identify(now, e.identity) })
 	}
 }
 
-func (w *Worker) identified(now time.Time, id runtable.Identity) {
+// followIdentity does what may change which life the table believes in, and logs and
+// registers the change.
+func (w *Worker) followIdentity(change func()) {
 	before := w.table.Identity()
+	change()
+	id := w.table.Identity()
 	if before.Instance != id.Instance || before.Ready != id.Ready {
 		w.log.Info("backend_state", zap.String("instance", id.Instance), zap.Bool("ready", id.Ready), zap.Int64("cpu", id.Capacity.CPU))
 	}
-	w.table.Identify(now, id)
 	changed := before.Instance != id.Instance || before.Ready != id.Ready || before.Service != id.Service
 	if changed && id.Service != "" {
 		b := store.Backend(id)
--- a/jobs/worker/perform.go
+++ b/jobs/worker/perform.go
@@ -23,6 +23,9 @@
 	for _, c := range e.Stops {
 		go w.stop(c)
 	}
+	if e.Ask != nil {
+		go w.ask(*e.Ask)
+	}
 	if e.Renew {
 		w.kickRenewal()
 	}
@@ -83,3 +86,12 @@
 	}
 	w.loop.Post(stopAnswered{c, answered})
 }
+
+// ask asks the backend server whether it is the life that the call names.
+func (w *Worker) ask(c runtable.RenewCall) {
+	result := w.renew(c).Result
+	if result == runtable.RenewUnanswered {
+		loop.Sleep(w.halt, repeatPause)
+	}
+	w.loop.Post(backendAsked{c, result})
+}
--- a/jobs/worker/worker.go
+++ b/jobs/worker/worker.go
@@ -114,13 +114,11 @@
 	return peer.Introduction(wire.RoleWorker, w.cfg.Box.Name, w.cfg.Box.DataCentre, w.name, w.peers.Advertised())
 }
 
-// Heartbeat takes what the backend server says of itself.
-func (w *Worker) Heartbeat(id runtable.Identity) { w.loop.Post(backendHeard{id}) }
+// Reported takes what the backend server says of itself.
+func (w *Worker) Reported(r runtable.Report) { w.loop.Post(backendReported{r}) }
 
-// Deregistered takes the backend server's word that it ends.
-func (w *Worker) Deregistered(instance string) {
-	w.log.Info("backend_deregistered", zap.String("instance", instance))
-}
+// Deregistered takes the word of a life of the backend server that it ends.
+func (w *Worker) Deregistered(instance string) { w.loop.Post(backendDeregistered{instance}) }
 
 // Close ends everything at once. What runs goes on under its lease.
 func (w *Worker) Close() {
