subset, scheduler: keep as many connections to workers as our own demand asks for

Cause: each coordinator of the large site kept 48 of 240 workers, whatever its callers brought it, so that each worker had eleven coordinators, with five heartbeats a second and an answer to each: a fifth of all processor time, by reckoning from messages. Ruled out: a smaller fixed number, which would leave one with many callers too little room to choose from; slower heartbeats, which age what is believed to be free. Change: at least twelve workers and what four coordinators for each worker ask for, at most subset.size; between these four times the workers that our tasks filled in the last 10 to 20 s; all as soon as a task fits nowhere, and for 10 s after.

--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -66,7 +66,8 @@
 func (c *Coordinator) chooseWorkers(now time.Time) {
 	c.chosenAt = now
 	workers := c.knownWorkers(now)
-	chosen := subset.Choose(c.cfg.Subset.Core(), c.peers.Advertised(), c.liveCoordinators(now), workers)
+	wanted := c.wantedWorkers(now, workers)
+	chosen := subset.Choose(c.cfg.Subset.Core(), c.peers.Advertised(), c.liveCoordinators(now), workers, wanted)
 	asking := c.core.Asking()
 	for _, w := range workers {
 		preferred, isChosen := chosen[w.Address]
@@ -79,7 +80,31 @@
 			c.disconnect(now, w.Address, l)
 		}
 	}
-	c.shareWorkers(workers)
+	c.shareWorkers(workers, wanted)
+}
+
+// wantedWorkers returns how many workers of each service our own demand asks for.
+func (c *Coordinator) wantedWorkers(now time.Time, workers []subset.Worker) subset.Wanted {
+	wanted := make(subset.Wanted)
+	c.wantAll = false
+	for _, w := range workers {
+		if _, known := wanted[w.Service]; known {
+			continue
+		}
+		n, all := c.core.WorkersWanted(now, w.Service)
+		if all {
+			c.wantAll = true
+			n = c.cfg.Subset.Size
+		}
+		wanted[w.Service] = n
+	}
+	return wanted
+}
+
+// chooseAgain returns whether the workers are to be chosen again: now and then, and as
+// soon as a task fits at none of them.
+func (c *Coordinator) chooseAgain(now time.Time) bool {
+	return now.Sub(c.chosenAt) >= chooseEvery || !c.wantAll && c.core.Short(c.chosenAt)
 }
 
 func preference(preferred, chosen bool) scheduler.Preference {
@@ -101,14 +126,14 @@
 }
 
 // shareWorkers tells the core how many coordinators share its workers.
-func (c *Coordinator) shareWorkers(workers []subset.Worker) {
+func (c *Coordinator) shareWorkers(workers []subset.Worker, wanted subset.Wanted) {
 	byService := make(map[string]int)
 	for _, w := range workers {
 		byService[w.Service]++
 	}
 	settings := c.cfg.Subset.Core()
 	for service, n := range byService {
-		c.core.SetSharers(service, settings.Sharers(n, 1+c.reachable()))
+		c.core.SetSharers(service, settings.Sharers(service, n, 1+c.reachable(), wanted))
 	}
 }
 
--- a/jobs/coordinator/perform.go
+++ b/jobs/coordinator/perform.go
@@ -15,7 +15,7 @@
 	c.serving.Store(c.core.Serving(now))
 	c.expireForwarded(now)
 	c.announce(now)
-	if now.Sub(c.chosenAt) >= chooseEvery {
+	if c.chooseAgain(now) {
 		c.chooseWorkers(now)
 	}
 }
--- /dev/null
+++ b/jobs/scheduler/demand_test.go
@@ -0,0 +1,65 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/jobs/scheduler"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+var _ = Describe("the workers that a coordinator wants to choose from", func() {
+	wanted := func(f *fixture) int {
+		n, all := f.core.WorkersWanted(f.now, "s")
+		Expect(all).To(BeFalse())
+		return n
+	}
+	// busy is a core of which one job of three tasks runs on four workers.
+	busy := func() (*fixture, []sent) {
+		f := newFixture()
+		for _, name := range []string{"w1", "w2", "w3", "w4"} {
+			f.worker(name)
+		}
+		f.core.Take(f.now)
+		f.core.Submit(f.now, 1, bestEffort(3), 0)
+		return f, f.orders(f.core.Take(f.now))
+	}
+
+	It("are all while nothing is known of any", func() {
+		_, all := newFixture().core.WorkersWanted(time.Unix(1000, 0), "s")
+		Expect(all).To(BeTrue())
+	})
+
+	It("are four times those that its tasks filled of late, and few when they are gone", func() {
+		f, runs := busy()
+		Expect(wanted(f)).To(Equal(3), "4 x 3,000 of 4,000 each")
+		for _, r := range runs {
+			f.core.Ends(f.now, r.worker, &wire.RunEnds{Ends: []wire.RunEnd{{Ref: r.order.Ref, How: uint8(wire.EndDone)}}})
+		}
+		Expect(wanted(f)).To(Equal(3))
+		f.now = f.now.Add(11 * time.Second)
+		Expect(wanted(f)).To(Equal(3), "for the span before")
+		f.now = f.now.Add(11 * time.Second)
+		Expect(wanted(f)).To(BeZero())
+	})
+
+	It("are all as soon as a task fits nowhere, and until none has for long", func() {
+		f, _ := busy()
+		before := f.now
+		Expect(f.core.Short(before)).To(BeFalse())
+		f.now = f.now.Add(time.Millisecond)
+		big := bestEffort(1)
+		big.ID = "00000000000000aa"
+		big.Steps[0].Need.CPU = 5000
+		f.core.Prefer("w1", scheduler.Preferred)
+		f.core.Submit(f.now, 2, big, 0)
+		f.core.Take(f.now)
+		Expect(f.core.Short(before)).To(BeTrue())
+		_, all := f.core.WorkersWanted(f.now, "s")
+		Expect(all).To(BeTrue())
+		f.now = f.now.Add(11 * time.Second)
+		Expect(wanted(f)).To(Equal(3))
+	})
+})
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -22,8 +22,8 @@
 		}
 		q.moveOverdue(now)
 		workers := c.candidates(now, service)
-		if c.dispatchHeap(now, &q.onTime, workers, orders) {
-			c.dispatchHeap(now, &q.overdue, workers, orders)
+		if !c.dispatchHeap(now, &q.onTime, workers, orders) || !c.dispatchHeap(now, &q.overdue, workers, orders) {
+			c.demandOf(service).shortAt = now
 		}
 	}
 	for _, w := range ordered.KeysFunc(orders, byName) {
@@ -104,6 +104,7 @@
 	t.state = taskAssigned
 	t.worker = w
 	t.startSeq = 0
+	c.demandOf(t.job.sub.Queue.Service).use(t.step.Need.CPU)
 	c.setBegun(now, t.job, t.job.assigned+1, t.job.ran)
 	w.assigned[t] = struct{}{}
 }
@@ -115,6 +116,7 @@
 	}
 	delete(t.worker.assigned, t)
 	t.worker = nil
+	c.demandOf(t.job.sub.Queue.Service).use(-t.step.Need.CPU)
 	c.setBegun(now, t.job, t.job.assigned-1, t.job.ran)
 	if t.state == taskAssigned {
 		t.state = taskBlocked
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -66,6 +66,7 @@
 	order    []*worker          // all that are known, by name
 	eligible []*worker          // those that new tasks may go to, by name
 	sharers  map[string]float64 // coordinators that share each worker of a service, with this one
+	demands  map[string]*demand // by service
 	servedAt time.Time          // when there was last a worker that took tasks
 
 	effects Effects
@@ -83,6 +84,7 @@
 		callers:    make(map[Call]waitingCall),
 		watched:    make(map[*job]struct{}),
 		sharers:    make(map[string]float64),
+		demands:    make(map[string]*demand),
 	}
 }
 
--- a/jobs/subset/subset.go
+++ b/jobs/subset/subset.go
@@ -21,10 +21,19 @@
 
 // Settings bound how many workers one coordinator keeps connections to.
 type Settings struct {
-	Size     int // workers of each service; all of them where there are no more
+	Size     int // workers of each service, at most; all of them where there are no more
 	Coverage int // coordinators that each worker should have at least
 }
 
+// Least is how many workers of a service a coordinator keeps connections to, however
+// little it asks of them: two of the widest jobs begin there at once. Chosen, not
+// measured.
+const Least = 12
+
+// Wanted is how many workers of each service the coordinator's own demand asks for. One
+// that is not named is asked for as far as Settings.Size goes.
+type Wanted map[string]int
+
 // Choose returns the addresses of the workers that one of the coordinators, self,
 // keeps connections to, and of each whether it is to be preferred. The
 // workers of a service form a ring in the order of the hashes of their
@@ -33,13 +42,13 @@
 // are taken beside those that count. So the connections of one process do not
 // grow with all processes, and no worker is left out as long as the coordinators
 // know of each other.
-func Choose(cfg Settings, self string, coordinators []string, workers []Worker) (chosen map[string]bool) {
+func Choose(cfg Settings, self string, coordinators []string, workers []Worker, wanted Wanted) (chosen map[string]bool) {
 	place, count := placeOf(self, coordinators)
 	chosen = make(map[string]bool)
-	for _, ring := range rings(workers) {
+	for service, ring := range rings(workers) {
 		start := place * len(ring) / count
 		preferred := (place+1)*len(ring)/count - start
-		left := cfg.sizeFor(len(ring), count)
+		left := cfg.sizeFor(len(ring), count, wanted.of(service))
 		for i := 0; i < len(ring) && left > 0; i++ {
 			w := ring[(start+i)%len(ring)]
 			chosen[w.Address] = i < preferred
@@ -51,20 +60,28 @@
 	return chosen
 }
 
-// Sharers returns how many of so many coordinators keep a connection to one of
-// so many workers of a service, on the average.
-func (s Settings) Sharers(workers, coordinators int) float64 {
+// Sharers returns how many of so many coordinators keep a connection to one of so many
+// workers of the service, on the average, if they all want as many.
+func (s Settings) Sharers(service string, workers, coordinators int, wanted Wanted) float64 {
 	if workers == 0 {
 		return float64(coordinators)
 	}
-	size := min(workers, s.sizeFor(workers, coordinators))
+	size := min(workers, s.sizeFor(workers, coordinators, wanted.of(service)))
 	return float64(coordinators) * float64(size) / float64(workers)
 }
 
-// sizeFor returns how many workers of a service each coordinator takes.
-func (s Settings) sizeFor(workers, coordinators int) int {
+// sizeFor returns how many workers of a service a coordinator takes that wants so many.
+func (s Settings) sizeFor(workers, coordinators, wanted int) int {
 	covering := math.Ceil(float64(s.Coverage) * float64(workers) / float64(coordinators))
-	return max(s.Size, int(covering))
+	return max(min(s.Size, max(Least, wanted)), int(covering))
+}
+
+func (w Wanted) of(service string) int {
+	n, named := w[service]
+	if !named {
+		return math.MaxInt
+	}
+	return n
 }
 
 // placeOf returns the place of self among the coordinators, and their number
--- a/jobs/subset/subset_test.go
+++ b/jobs/subset/subset_test.go
@@ -36,9 +36,9 @@
 
 	It("is all of them where they are few", func() {
 		workers := workersAt(addresses("w", 11), "s")
-		chosen := subset.Choose(cfg, "c0:1", addresses("c", 3), workers)
+		chosen := subset.Choose(cfg, "c0:1", addresses("c", 3), workers, nil)
 		Expect(chosen).To(HaveLen(11))
-		Expect(cfg.Sharers(11, 3)).To(Equal(3.0))
+		Expect(cfg.Sharers("s", 11, 3, nil)).To(Equal(3.0))
 	})
 
 	It("does not grow with the workers, and leaves none out", func() {
@@ -46,7 +46,7 @@
 		workers := workersAt(addresses("w", 960), "s")
 		covered, homes := make(map[string]int), make(map[string]int)
 		for _, self := range coordinators {
-			chosen := subset.Choose(cfg, self, coordinators, workers)
+			chosen := subset.Choose(cfg, self, coordinators, workers, nil)
 			Expect(chosen).To(HaveLen(48))
 			for a, home := range chosen {
 				covered[a]++
@@ -61,24 +61,24 @@
 		for _, n := range covered {
 			Expect(n).To(BeNumerically("~", 205*48.0/960, 2))
 		}
-		Expect(cfg.Sharers(960, 205)).To(BeNumerically("~", 10.25, 0.01))
+		Expect(cfg.Sharers("s", 960, 205, nil)).To(BeNumerically("~", 10.25, 0.01))
 	})
 
 	It("grows where coordinators are too few to cover all workers", func() {
 		coordinators := addresses("c", 10)
 		workers := workersAt(addresses("w", 960), "s")
-		Expect(subset.Choose(cfg, "c3:1", coordinators, workers)).To(HaveLen(384))
+		Expect(subset.Choose(cfg, "c3:1", coordinators, workers, nil)).To(HaveLen(384))
 	})
 
 	It("takes others beside those that are lost", func() {
 		coordinators := addresses("c", 20)
 		workers := workersAt(addresses("w", 200), "s")
-		before := subset.Choose(cfg, "c3:1", coordinators, workers)
+		before := subset.Choose(cfg, "c3:1", coordinators, workers, nil)
 		for i := range workers {
 			_, taken := before[workers[i].Address]
 			workers[i].Lost = taken && i%2 == 0
 		}
-		after := subset.Choose(cfg, "c3:1", coordinators, workers)
+		after := subset.Choose(cfg, "c3:1", coordinators, workers, nil)
 		reachable := 0
 		for _, w := range workers {
 			if _, taken := after[w.Address]; taken && !w.Lost {
@@ -93,7 +93,29 @@
 
 	It("is drawn for each service apart", func() {
 		workers := append(workersAt(addresses("w", 100), "s"), workersAt(addresses("v", 5), "t")...)
-		chosen := subset.Choose(cfg, "c0:1", addresses("c", 30), workers)
+		chosen := subset.Choose(cfg, "c0:1", addresses("c", 30), workers, nil)
 		Expect(chosen).To(HaveLen(53))
 	})
+
+	It("follows what the coordinator wants, between the least and the most", func() {
+		coordinators := addresses("c", 55)
+		workers := workersAt(addresses("w", 240), "s")
+		for wanted, size := range map[int]int{0: 18, 15: 18, 30: 30, 500: 48} {
+			chosen := subset.Choose(cfg, "c3:1", coordinators, workers, subset.Wanted{"s": wanted})
+			Expect(chosen).To(HaveLen(size))
+			Expect(cfg.Sharers("s", 240, 55, subset.Wanted{"s": wanted})).To(BeNumerically("~", 55*float64(size)/240, 0.01))
+		}
+		many := addresses("c", 960)
+		Expect(subset.Choose(cfg, "c3:1", many, workers, subset.Wanted{"s": 0})).To(HaveLen(subset.Least))
+	})
+
+	It("of one who wants few are among those of one who wants many", func() {
+		coordinators := addresses("c", 55)
+		workers := workersAt(addresses("w", 240), "s")
+		few := subset.Choose(cfg, "c3:1", coordinators, workers, subset.Wanted{"s": 0})
+		many := subset.Choose(cfg, "c3:1", coordinators, workers, nil)
+		for address, preferred := range few {
+			Expect(many).To(HaveKeyWithValue(address, preferred))
+		}
+	})
 })
