scheduler, runtable: share out the probes of slow and failing workers

Cause: every coordinator that shares an outlier sent it one task a second. Ruled out: want of capacity (1,413 of 2,097 seconds of tasks); the store, which turned 19 boxes away then. Change: a coordinator probes an outlier once in as many seconds as coordinators share it, first after a random part of that; a run that takes less than half of what was thought weighs 0.5, so that three probes tell of a recovery and not eight. The spec of the scheduler failed before with 35 probes in 40 s, now 4.

--- a/jobs/runtable/outcomes.go
+++ b/jobs/runtable/outcomes.go
@@ -6,8 +6,13 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// smoothing is the weight of one more run in outcomes. Chosen, not measured.
-const smoothing = 0.2
+// The weight of one more run in outcomes, and of one that took less than half of what was
+// thought: the backend server has recovered, and few runs come to say so while it gets
+// probes alone. Chosen, not measured.
+const (
+	smoothing  = 0.2
+	recovering = 0.5
+)
 
 // outcomes is what the runs here were like lately, of all owners together: each owner
 // alone would learn as many times more slowly as there are owners.
@@ -31,7 +36,13 @@
 	}
 }
 
-func (o *outcomes) ran(slowness float64) { o.slowness += smoothing * (slowness - o.slowness) }
+func (o *outcomes) ran(slowness float64) {
+	weight := smoothing
+	if slowness < o.slowness/2 {
+		weight = recovering
+	}
+	o.slowness += weight * (slowness - o.slowness)
+}
 
 // outcomesNow returns the outcomes as if the runs had ended by now that already take
 // longer than most: a backend server that has become slow, or does nothing, is known
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -459,6 +459,29 @@
 		Expect(said(f).Slowness).To(BeEquivalentTo(200), "a run that is young says nothing")
 	})
 
+	It("says soon that it is as fast as before, though few runs show it", func() {
+		f := newFixture().ready()
+		f.estimate = 100
+		slow := func() uint32 { return said(f).Slowness }
+		number := uint64(0)
+		runFor := func(index uint32, d time.Duration) {
+			f.heartbeat(7)
+			run(f, index)
+			f.passHolding(d)
+			f.heartbeat(7)
+			number++
+			f.hold(nil, runtable.ListedEnd{Number: number, Ref: ref(index, 1), Valid: true, How: wire.EndDone})
+		}
+		for i := range uint32(12) {
+			runFor(i, 600*time.Millisecond)
+		}
+		Expect(slow()).To(BeNumerically(">", 450))
+		for i := range uint32(3) {
+			runFor(12+i, 100*time.Millisecond)
+		}
+		Expect(slow()).To(BeNumerically("<", 220))
+	})
+
 	It("is told by the share that failed, and forgotten with the life", func() {
 		f := newFixture().ready()
 		run(f, 0)
--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -33,8 +33,8 @@
 	}
 	slices.Sort(slow)
 	for i := range out {
-		c.detectOutlier(out[i].w, slow[len(slow)/2])
-		out[i].ejected = out[i].w.ejected(now)
+		c.detectOutlier(now, out[i].w, slow[len(slow)/2])
+		out[i].ejected = c.ejected(now, out[i].w)
 	}
 	return out
 }
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -752,6 +752,35 @@
 		Expect(at(3)["slow"]).To(BeNumerically(">", 1))
 	})
 
+	It("probes a slow worker less often, the more coordinators share it", func() {
+		f := newFixture()
+		names := []string{"slow", "a", "b"}
+		for _, name := range names {
+			f.worker(name)
+		}
+		f.slowness["slow"], f.slowness["a"], f.slowness["b"] = 600, 120, 130
+		f.core.SetSharers("s", 10)
+		probes := 0
+		const seconds = 40
+		for i := range 10 * seconds {
+			for _, name := range names {
+				f.status(name, 4000)
+			}
+			f.core.Tick(f.now)
+			s := bestEffort(1)
+			s.ID = durable.JobID(fmt.Sprintf("%016x", i))
+			f.core.Submit(f.now, scheduler.Call(i+1), s, 0)
+			for _, r := range f.orders(f.core.Take(f.now)) {
+				if r.worker == "slow" {
+					probes++
+				}
+				f.end(r, wire.EndDone)
+			}
+			f.now = f.now.Add(100 * time.Millisecond)
+		}
+		Expect(probes).To(BeNumerically("~", seconds/10, 1))
+	})
+
 	It("runs a task that has failed where runs fail least, though more is free elsewhere", func() {
 		f := newFixture()
 		f.worker("first")
