registration: write no record that is there, and put off what others can do without

Cause: all records of processes are in one partition, which takes its appends in turn, and readings wait for them. Ruled out: starts of the processes, dials, joins (each within 0.2 s in the log). Coordinators learn from the first reading of all records whether their own is there.

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -148,7 +148,6 @@
 	c.peers.Serve(c.hello, inbound{c})
 	go c.loop.Run(c.halt.Done(), tickEvery, loop.Steps[event]{Handle: c.handle, Tick: c.tick, Perform: c.perform})
 	go c.keepJoining()
-	go c.register()
 	go c.followMembers()
 	go c.store.Configurations(c.halt, c.configure)
 }
--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,21 +13,39 @@
 )
 
 // register makes the process known, however long that takes.
-func (c *Coordinator) register() {
+func (c *Coordinator) register(k *registration.Keeper) {
 	m := store.Member{Address: c.peers.Advertised(), Role: store.RoleCoordinator, DataCentre: c.cfg.Box.DataCentre}
 	never := func() bool { return false }
-	registration.Keep(c.halt, c.store, m, never, c.log)
+	k.Keep(c.halt, m, never)
 }
 
-// followMembers tells the control goroutine of the registered processes.
+// followMembers tells the control goroutine of the registered processes. The first
+// reading tells whether we are registered.
 func (c *Coordinator) followMembers() {
-	var first sync.Once
-	c.store.Members(c.halt, func(m []store.Member) {
-		c.loop.Post(membersHeard{m})
-		first.Do(func() { close(c.membersRead) })
+	k := registration.NewKeeper(c.store, c.peers.Advertised(), c.log)
+	first := true
+	c.store.Members(c.halt, func(members []store.Member) {
+		c.loop.Post(membersHeard{members})
+		if !first {
+			return
+		}
+		first = false
+		close(c.membersRead)
+		k.Recalled(ownRecord(members, c.peers.Advertised()))
+		go c.register(k)
 	})
 }
 
+// ownRecord returns the record of the address among those that are registered.
+func ownRecord(members []store.Member, address string) (m store.Member, found bool) {
+	for _, m := range members {
+		if m.Address == address {
+			return m, true
+		}
+	}
+	return store.Member{}, false
+}
+
 // membersChanged connects to processes that are new.
 func (c *Coordinator) membersChanged(now time.Time, members []store.Member) {
 	for _, m := range members {
--- a/jobs/store/store.go
+++ b/jobs/store/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -56,6 +57,14 @@
 	Backend    *Backend // of a worker, once it is known
 }
 
+// Same returns whether the two say the same.
+func (m *Member) Same(o *Member) bool {
+	if m.Address != o.Address || m.Role != o.Role || m.DataCentre != o.DataCentre || (m.Backend == nil) != (o.Backend == nil) {
+		return false
+	}
+	return m.Backend == nil || m.Backend.same(o.Backend)
+}
+
 // Backend is what a worker last knew of its backend server, for the next
 // process at its address.
 type Backend struct {
@@ -66,6 +75,11 @@
 	Labels   []string
 }
 
+func (b *Backend) same(o *Backend) bool {
+	return b.Instance == o.Instance && b.Service == o.Service && b.Ready == o.Ready &&
+		b.Capacity == o.Capacity && slices.Equal(b.Labels, o.Labels)
+}
+
 // Store is the log service as one process uses it. Its methods may be called
 // by several goroutines at once.
 type Store interface {
--- a/jobs/worker/registration.go
+++ b/jobs/worker/registration.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/lichenfall/lichenfall/jobs/registration"
 	"github.com/lichenfall/lichenfall/jobs/runtable"
 	"github.com/lichenfall/lichenfall/jobs/store"
@@ -16,44 +14,38 @@
 const (
 	identifyPause = 50 * time.Millisecond // between questions to the backend server
 	identifyTries = 20                    // after them its heartbeat has come
-	recallLimit   = 2 * time.Second       // for reading the store
 )
 
 // identify asks a backend server that was there before us which life it is, so
 // that its lease is renewed before its next heartbeat; and the store what an
 // earlier process here knew of that life, so that it can be used at once.
-func (w *Worker) identify() {
+func (w *Worker) identify(k *registration.Keeper) {
 	for range identifyTries {
 		ctx, cancel := context.WithTimeout(w.halt, w.cfg.Runs.CallLimit.D())
 		instance, ok := w.backend.Identify(ctx)
 		cancel()
 		if ok {
 			w.loop.Post(backendFound{runtable.Identity{Instance: instance}})
-			w.recall(instance)
+			w.recall(k, instance)
 			return
 		}
 		loop.Sleep(w.halt, identifyPause)
 	}
 }
 
-// recall reads what is registered of the life.
-func (w *Worker) recall(instance string) {
-	ctx, cancel := context.WithTimeout(w.halt, recallLimit)
-	defer cancel()
-	m, found, err := w.store.Member(ctx, w.peers.Advertised())
-	if err != nil {
-		w.log.Warn("member_unread", zap.Error(err))
-		return
-	}
-	if !found || m.Backend == nil || m.Backend.Instance != instance {
-		return
+// recall uses what is registered of the life.
+func (w *Worker) recall(k *registration.Keeper, instance string) {
+	m, found, err := k.Recall(w.halt)
+	if err == nil && found && m.Backend != nil && m.Backend.Instance == instance {
+		w.loop.Post(backendFound{runtable.Identity(*m.Backend)})
 	}
-	w.loop.Post(backendFound{runtable.Identity(*m.Backend)})
 }
 
-// keepRegistered makes the process known, and each change of its backend
-// server.
+// keepRegistered makes the process known as soon as its backend server is, and each
+// change of that.
 func (w *Worker) keepRegistered() {
+	k := registration.NewKeeper(w.store, w.peers.Advertised(), w.log)
+	w.identify(k)
 	newer := func() bool { return len(w.register) > 0 }
 	for {
 		select {
@@ -61,7 +53,7 @@
 			return
 		case b := <-w.register:
 			m := store.Member{Address: w.peers.Advertised(), Role: store.RoleWorker, DataCentre: w.cfg.Box.DataCentre, Backend: b}
-			registration.Keep(w.halt, w.store, m, newer, w.log)
+			k.Keep(w.halt, m, newer)
 		}
 	}
 }
--- a/jobs/worker/worker.go
+++ b/jobs/worker/worker.go
@@ -109,8 +109,6 @@
 	go w.loop.Run(w.halt.Done(), tickEvery, loop.Steps[event]{Handle: w.handle, Tick: w.table.Tick, Perform: w.perform})
 	w.peers.Serve(w.hello, handler{w})
 	go w.keepRenewing()
-	go w.identify()
-	w.wantRegistered(nil)
 	go w.keepRegistered()
 }
 
