worker, runtable: make the next renewal beside one that is overdue

Change: 8 ms after its wait the next renewal is made beside it (setting runs.renew_patience), three at the most; its own answer still counts when it comes. The core took answers in any order already; the randomised cores now have them overtake each other.

--- a/config/runs.go
+++ b/config/runs.go
@@ -32,6 +32,10 @@
 	// CalmRenewWait is the same at any other time. Chosen, not measured: a tenth of the
 	// lease.
 	CalmRenewWait Duration `json:"calm_renew"`
+	// RenewPatience is how long the answer to a renewal may take beyond its wait before
+	// another is made beside it: a renewal that is lost makes the worker deaf for so long
+	// and not for RenewLimit. Chosen, not measured: some ten times what an answer takes.
+	RenewPatience Duration `json:"renew_patience"`
 	// RenewLimit is for the answer to a renewal, beyond its wait; it doubles after each
 	// that had none, up to CallLimit. Measured with RenewWait.
 	RenewLimit Duration `json:"renew_limit"`
@@ -59,6 +63,7 @@
 		BackendLease:    Duration(time.Second),
 		RenewWait:       Duration(20 * time.Millisecond),
 		CalmRenewWait:   Duration(100 * time.Millisecond),
+		RenewPatience:   Duration(8 * time.Millisecond),
 		RenewLimit:      Duration(30 * time.Millisecond),
 		Silence:         Duration(260 * time.Millisecond),
 		StartLimit:      Duration(700 * time.Millisecond),
@@ -76,6 +81,7 @@
 	c.span("runs.hold_lease", r.BackendLease, Duration(100*time.Millisecond), 60*second)
 	c.span("runs.hold_renew", r.RenewWait, Duration(5*time.Millisecond), r.BackendLease/2)
 	c.span("runs.calm_renew", r.CalmRenewWait, r.RenewWait, r.BackendLease/2)
+	c.span("runs.renew_patience", r.RenewPatience, Duration(time.Millisecond), r.RenewLimit)
 	c.span("runs.renew_limit", r.RenewLimit, Duration(time.Millisecond), r.CallLimit)
 	c.span("runs.silence", r.Silence, r.CalmRenewWait+r.CallLimit, r.BackendLease)
 	c.span("runs.start_limit", r.StartLimit, Duration(10*time.Millisecond), 60*second)
@@ -93,6 +99,7 @@
 		BackendLease:    r.BackendLease.D(),
 		RenewWait:       r.RenewWait.D(),
 		CalmRenewWait:   r.CalmRenewWait.D(),
+		RenewPatience:   r.RenewPatience.D(),
 		RenewLimit:      r.RenewLimit.D(),
 		CallLimit:       r.CallLimit.D(),
 		Silence:         r.Silence.D(),
--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -30,7 +30,9 @@
 	refusing bool    // takes no orders to start for now
 	silent   bool    // answers nothing, and carries out a part of what it is told
 	lateBy   float64 // share of orders that are carried out late
-	reports  uint64  // heartbeats of this life so far
+	// slowAnswers is the share of answers that are long on their way.
+	slowAnswers float64
+	reports     uint64 // heartbeats of this life so far
 	// lateReports is the share of heartbeats that are held up on their way.
 	lateReports float64
 	lapsedAt    time.Time
--- a/jobs/promises/random_test.go
+++ b/jobs/promises/random_test.go
@@ -87,7 +87,7 @@
 // were when their seeds were found, since other kinds play another case.
 const (
 	firstFaults = 13
-	allFaults   = 17
+	allFaults   = 18
 )
 
 // playCase plays one case: jobs, and faults of the first kinds drawn from the
@@ -148,6 +148,7 @@
 		{"refusing backend", func() { w.refuseOrders(w.random.IntN(workerCount)) }},
 		{"other preferences", func() { w.prefer(w.coordinators[w.random.IntN(coordinatorCount)]) }},
 		{"late heartbeats", func() { w.lateHeartbeats(w.random.IntN(workerCount)) }},
+		{"slow answers", func() { w.slowAnswers(w.random.IntN(workerCount)) }},
 	}
 	f := faults[w.random.IntN(kinds)]
 	w.counts["fault: "+f.name]++
@@ -285,6 +286,12 @@
 	w.after(w.between(3*time.Second, 8*time.Second), func() { b.lateReports = 0 })
 }
 
+func (w *world) slowAnswers(i int) {
+	b := w.workers[i].backend
+	b.slowAnswers = 0.4
+	w.after(w.between(time.Second, 5*time.Second), func() { b.slowAnswers = 0 })
+}
+
 func (w *world) failBackend(i int) {
 	b := w.workers[i].backend
 	b.failing = true
@@ -343,6 +350,7 @@
 		}
 		n.backend.lateBy = 0
 		n.backend.lateReports = 0
+		n.backend.slowAnswers = 0
 		n.backend.failing = false
 		n.backend.refusing = false
 		n.backend.silent = false
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -58,13 +58,34 @@
 		n.later(50*time.Millisecond, n.holdAgain)
 		return
 	}
+	next := n.once(func() { n.later(15*time.Millisecond, n.holdAgain) })
+	answered := false
 	n.renew(call, func(a runtable.RenewAnswer) {
+		answered = true
 		n.table.RenewAnswered(n.w.now, call, a)
 		n.perform()
-		n.later(15*time.Millisecond, n.holdAgain)
+		next()
+	})
+	n.later(call.Patience, func() {
+		if !answered {
+			n.w.counts["overdue renewals"]++
+			n.table.RenewOverdue(call)
+			next()
+		}
 	})
 }
 
+// once returns a function that does it the first time that it is called.
+func (n *workerNode) once(do func()) func() {
+	called := false
+	return func() {
+		if !called {
+			called = true
+			do()
+		}
+	}
+}
+
 // renew plays a renewal; one without an answer is given up after a while.
 func (n *workerNode) renew(call runtable.RenewCall, answered func(runtable.RenewAnswer)) {
 	done := false
@@ -106,7 +127,11 @@
 	life := n.life
 	n.w.after(n.w.between(100*time.Microsecond, 2*time.Millisecond), func() {
 		a := carryOut()
-		n.w.after(500*time.Microsecond, func() { n.post(life, func() { answer(a) }) })
+		back := 500 * time.Microsecond
+		if n.backend.slowAnswers > 0 && n.w.chance(n.backend.slowAnswers) {
+			back = n.w.between(time.Millisecond, 55*time.Millisecond) // others overtake it
+		}
+		n.w.after(back, func() { n.post(life, func() { answer(a) }) })
 	})
 }
 
--- a/jobs/runtable/calls.go
+++ b/jobs/runtable/calls.go
@@ -54,6 +54,7 @@
 	Token    uint64
 	LastSeen uint64        // ends up to this number may be forgotten
 	Wait     time.Duration // how long the answer may wait at the backend server for an end
+	Patience time.Duration // how long it may take beyond Wait before another call is made beside
 	Limit    time.Duration // how long the answer may take beyond Wait
 }
 
--- a/jobs/runtable/renew.go
+++ b/jobs/runtable/renew.go
@@ -11,7 +11,7 @@
 		return RenewCall{}, false
 	}
 	t.renewSeq++
-	call = RenewCall{Instance: t.identity.Instance, Seq: t.renewSeq, Token: t.token, LastSeen: t.acked, Limit: t.renewLimit()}
+	call = RenewCall{Instance: t.identity.Instance, Seq: t.renewSeq, Token: t.token, LastSeen: t.acked, Patience: t.cfg.RenewPatience, Limit: t.renewLimit()}
 	if t.token == 0 {
 		return call, true
 	}
@@ -50,8 +50,20 @@
 	return min(limit, t.cfg.CallLimit)
 }
 
-// RenewAnswered tells the table of the answer to a RenewCall.
+// RenewOverdue tells the table that a RenewCall has had no answer within its wait and
+// Settings.RenewPatience. Its answer may still come; the next renewal asks at once.
+func (t *Table) RenewOverdue(call RenewCall) {
+	if call.Instance == t.identity.Instance && t.known {
+		t.unanswered++
+		t.overdue[call.Seq] = struct{}{}
+	}
+}
+
+// RenewAnswered tells the table of the answer to a RenewCall. Answers may come in any
+// order.
 func (t *Table) RenewAnswered(now time.Time, call RenewCall, a RenewAnswer) {
+	_, overdue := t.overdue[call.Seq]
+	delete(t.overdue, call.Seq)
 	if call.Instance != t.identity.Instance || !t.known {
 		return
 	}
@@ -66,8 +78,10 @@
 		t.lifeOver(now, "wrong_life")
 		return
 	case RenewUnanswered:
-		t.unanswered++
 		t.unansweredAt = now
+		if !overdue {
+			t.unanswered++
+		}
 		return
 	case RenewFenced:
 		t.setClock(now, a.Clock)
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -28,6 +28,9 @@
 	// something runs and calls go unanswered; CalmRenewWait, at any other time.
 	RenewWait     time.Duration
 	CalmRenewWait time.Duration
+	// RenewPatience is how long the answer to a renewal may take beyond its wait before
+	// the next renewal is made beside it.
+	RenewPatience time.Duration
 	RenewLimit    time.Duration // how long the answer to a renewal may take beyond its wait
 	CallLimit     time.Duration // the most that RenewLimit grows to
 	Silence       time.Duration // without an answer after which the backend server is called silent
@@ -65,7 +68,8 @@
 	acked    uint64          // every end up to it is stored by its owner
 
 	renewSeq   uint64
-	unanswered int // renewals in a row that had no answer
+	unanswered int                 // renewals in a row that had no answer
+	overdue    map[uint64]struct{} // renewals that may still be answered, by Seq
 	// unansweredAt is when a call of any kind last had no answer.
 	unansweredAt time.Time
 	leaseEnds    time.Time     // when the backend server's lease is over for certain
@@ -108,6 +112,7 @@
 		leases:   make(map[leaseKey]*ownerLease),
 		owners:   make(map[string]*owner),
 		recent:   make(map[wire.RunRef]recentEnd),
+		overdue:  make(map[uint64]struct{}),
 		outcomes: newOutcomes(),
 	}
 }
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -553,6 +553,42 @@
 		Expect(f.hold(nil).Wait).To(Equal(f.cfg.CalmRenewWait.D()), "since all have been answered for long")
 	})
 
+	It("have another made beside them when they are overdue, and count once if they are lost", func() {
+		f := newFixture().ready()
+		first, _ := f.table.NextRenewal(f.now)
+		Expect(first.Patience).To(Equal(f.cfg.RenewPatience.D()))
+		f.table.RenewOverdue(first)
+		second, _ := f.table.NextRenewal(f.now)
+		Expect(second.Wait).To(BeZero())
+		Expect(second.Limit).To(Equal(2 * f.cfg.RenewLimit.D()))
+		f.table.RenewAnswered(f.now, first, runtable.RenewAnswer{Result: runtable.RenewUnanswered})
+		third, _ := f.table.NextRenewal(f.now)
+		Expect(third.Limit).To(Equal(second.Limit), "it was counted when it was overdue")
+		f.table.RenewAnswered(f.now, second, runtable.RenewAnswer{Result: runtable.RenewOK, Clock: f.clock()})
+		Expect(f.hold(nil).Wait).NotTo(BeZero())
+	})
+
+	It("may be answered in any order: an older list brings no end again and hides no run", func() {
+		f := newFixture().ready()
+		f.order(7, ref(0, 1), ref(1, 1))
+		for _, c := range f.take().Starts {
+			f.table.StartAnswered(f.now, c, runtable.StartAccepted)
+		}
+		older, _ := f.table.NextRenewal(f.now)
+		f.table.RenewOverdue(older)
+		end := runtable.ListedEnd{Number: 1, Ref: ref(0, 1), Valid: true, How: wire.EndDone}
+		f.hold([]runtable.ListedRun{{Ref: ref(1, 1)}}, end)
+		Expect(ends(f.take())).To(HaveLen(1))
+		f.table.RenewAnswered(f.now, older, runtable.RenewAnswer{
+			Result: runtable.RenewOK, Clock: f.clock() - time.Second, Ended: []runtable.ListedEnd{end},
+			Running: []runtable.ListedRun{{Ref: ref(0, 1)}, {Ref: ref(1, 1)}},
+		})
+		e := f.take()
+		Expect(ends(e)).To(BeEmpty())
+		f.hold([]runtable.ListedRun{{Ref: ref(1, 1)}}, runtable.ListedEnd{Number: 2, Ref: ref(1, 1), Valid: true, How: wire.EndDone})
+		Expect(ends(f.take())).To(HaveLen(1))
+	})
+
 	It("wait long while nothing runs, whatever went unanswered", func() {
 		f := newFixture().ready()
 		unanswered(f)
--- a/jobs/worker/events.go
+++ b/jobs/worker/events.go
@@ -157,6 +157,11 @@
 	w.table.RenewAnswered(now, e.call, e.answer)
 }
 
+// renewalIsOverdue says that a renewal should have been answered by now.
+type renewalIsOverdue struct{ call runtable.RenewCall }
+
+func (e renewalIsOverdue) apply(w *Worker, _ time.Time) { w.table.RenewOverdue(e.call) }
+
 // handler posts what happens on the connections of coordinators.
 type handler struct{ w *Worker }
 
--- a/jobs/worker/renew.go
+++ b/jobs/worker/renew.go
@@ -15,20 +15,31 @@
 	renewIdle  = 100 * time.Millisecond // while none may be made
 )
 
-// keepRenewing renews the lease and listens for ends: a renewal waits at the
-// backend server until there is news. One is on its way at a time.
+// maxRenewals is how many renewals may be on their way at once. Chosen, not measured: one
+// that listens, and some of which the answers are lost.
+const maxRenewals = 3
+
+// keepRenewing renews the lease and listens for ends: a renewal waits at the backend
+// server until there is news. The next is made when it is answered, or beside it when its
+// answer is overdue.
 func (w *Worker) keepRenewing() {
+	free := make(chan struct{}, maxRenewals)
 	for w.halt.Err() == nil {
 		next := w.nextRenewal()
 		if !next.ok {
 			w.waitKick(renewIdle)
 			continue
 		}
+		select {
+		case free <- struct{}{}:
+		case <-w.halt.Done():
+			return
+		}
 		began := time.Now()
-		answer := w.renew(next.call)
-		w.loop.Post(renewalAnswered{next.call, answer})
+		result := w.renewUntilOverdue(next.call, func() { <-free })
 		switch {
-		case answer.Result != runtable.RenewOK:
+		case result == renewalOverdue:
+		case result != renewalOK:
 			loop.Sleep(w.halt, renewRetry)
 		case time.Since(began) < renewGap:
 			w.waitKick(renewGap)
@@ -36,6 +47,41 @@
 	}
 }
 
+// renewalResult says what is known of a renewal when the next may be made.
+type renewalResult uint8
+
+const (
+	renewalFailed renewalResult = iota
+	renewalOK
+	renewalOverdue // its answer may still come
+)
+
+// renewUntilOverdue makes a renewal, and returns when it is answered or overdue. Its
+// answer is posted whenever it comes; done is called then.
+func (w *Worker) renewUntilOverdue(call runtable.RenewCall, done func()) renewalResult {
+	answered := make(chan renewalResult, 1)
+	go func() {
+		defer done()
+		answer := w.renew(call)
+		result := renewalFailed
+		if answer.Result == runtable.RenewOK {
+			result = renewalOK
+		}
+		// The answer comes first in the loop, the question for the next renewal after it.
+		w.loop.Post(renewalAnswered{call, answer})
+		answered <- result
+	}()
+	overdue := time.NewTimer(call.Wait + call.Patience)
+	defer overdue.Stop()
+	select {
+	case result := <-answered:
+		return result
+	case <-overdue.C:
+		w.loop.Post(renewalIsOverdue{call})
+		return renewalOverdue
+	}
+}
+
 func (w *Worker) renew(call runtable.RenewCall) runtable.RenewAnswer {
 	ctx, cancel := context.WithTimeout(w.halt, call.Wait+call.Limit)
 	defer cancel()
