--- a/config/backend.go
+++ b/config/backend.go
@@ -10,8 +10,7 @@
 	Connections int    `json:"connections"` // HTTP connections at most
 	Queue       int    `json:"queue"`       // tasks waiting for a slot
 	// Order is "fair": workspaces in turn, small jobs of a workspace first; or "arrival",
-	// which lost the measurement (docs/measurements/0003) and stays for operators who
-	// have set it.
+	// which answers later under load and stays for operators who have set it.
 	Order       string   `json:"order"`
 	Hold        Duration `json:"hold"`       // how long an answer may wait for others of its job
 	MaxAnswer   int64    `json:"max_answer"` // bytes of one answer
--- a/config/placement.go
+++ b/config/placement.go
@@ -6,7 +6,7 @@
 type Placement struct {
 	// Choices is the number of agents drawn at random, of which the least
 	// loaded is taken; 0 looks at all in a pool of up to 64 agents, and draws 16
-	// of a larger one. Other values lost the measurement (docs/measurements/0003) and
+	// of a larger one. Other values answer later under load and
 	// stay for operators who have set them.
 	Choices int `json:"choices"`
 	// Bounces is how often a task may be handed back by an agent that holds more
--- a/jobs/scheduler/admission.go
+++ b/jobs/scheduler/admission.go
@@ -6,8 +6,9 @@
 	"github.com/lichenfall/lichenfall/jobs/durable"
 )
 
-// admitShare is the share of its slack that a job may be thought to wait. Measured
-// on one day: worth 0.836 with 0.8, 0.840 with 0.5 (docs/measurements/0006).
+// admitShare is the share of its slack that a job may be thought to wait. In an overload
+// 84.0 % of what the answers are worth to callers was earned, 83.6 % with 0.8; measured
+// once.
 const admitShare = 0.5
 
 // admit returns whether a best-effort job can be thought to begin in time, with
--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -40,8 +40,9 @@
 }
 
 // tooLateAt returns whether a job that begins now will be late. While workers take
-// tasks there are others that can still be in time, and they get the room: measured in
-// docs/measurements/0008. While none does, a late answer is the best that there is.
+// tasks there are others that can still be in time, and they get the room: in overloads
+// 94.8 % of the calls were answered in time so and 2.9 % refused, else 94.4 and 2.7 %.
+// While none does, a late answer is the best that there is.
 func (j *job) tooLateAt(now time.Time) bool { return now.After(j.due.Add(-j.longest)) }
 
 // refuseUnstarted refuses a job none of whose tasks has begun: it has not run.
--- a/jobs/scheduler/outliers.go
+++ b/jobs/scheduler/outliers.go
@@ -2,9 +2,7 @@
 
 import "time"
 
-// Bounds of outlier detection, in the percent of WorkerStatus. Chosen, not measured;
-// that a worker that fails runs counts for less was measured at 0.873 and 0.872 in
-// worth, 0.003 and 0.001 of requests failed (docs/measurements/0006).
+// Bounds of outlier detection, in the percent of WorkerStatus. Chosen, not measured.
 const (
 	sound           = 100         // slowness of a worker of which nothing is known
 	outlierSlowness = 2.2         // times the median of its peers
--- a/lib/peer/link.go
+++ b/lib/peer/link.go
@@ -25,7 +25,7 @@
 // Limits of one attempt to dial: short at first, since an attempt that meets a box
 // without power hears nothing, and would outlast the moment in which it is back; then
 // doubled, for peers that are far away or slow. A limit of 1 s for each attempt left
-// half of the connections missing for 1 s after a loss of power (docs/measurements/0008).
+// half of the connections missing for 1 s after a loss of power.
 const (
 	firstDialLimit = 150 * time.Millisecond
 	lastDialLimit  = time.Second
--- a/submissions/placement/outliers.go
+++ b/submissions/placement/outliers.go
@@ -23,8 +23,7 @@
 }
 
 // Bounds of outlier detection. Chosen, not measured; with it the share of complete
-// jobs with one backend server that fails at once rose from 0.02 to 0.81
-// (docs/measurements/0003).
+// jobs with one backend server that fails at once rose from 0.02 to 0.81.
 const (
 	detectEvery  = 100 * time.Millisecond // between two passes over a pool
 	sampleWeight = 0.1                    // of the newest task in the averages
