runtable, platform: judge runs by their progress, and stop early what will be late

Cause: a server that turned slow or stood still was noticed when its runs had taken three times their estimate, and each run was left there until its limit had passed: 750 ms for a task of 200. All that it held by then was late. The backend server tells how far each run has come, which was not read. Ruled out: shorter limits, which stop runs that are long by themselves. Change: the pace of a run is worked out over 60 ms or a quarter of its estimate; one that will be over its limit at its pace, or does not advance, is stopped at once and started elsewhere, and the worker's slowness follows from the expected time. Where a backend server tells no progress, nothing changes. Tests: five specs of runtable; stand-ins tell progress.

--- a/jobs/fakebackend/backend.go
+++ b/jobs/fakebackend/backend.go
@@ -91,6 +91,12 @@
 	}
 }
 
+// percent returns how far the run has come.
+func (l *Backend) percent(ref wire.RunRef) int {
+	left := time.Until(l.running[ref].ends)
+	return int(100 * (l.Work - left) / l.Work)
+}
+
 // Starts returns how often each task has been started.
 func (l *Backend) Starts() map[durable.TaskID]int {
 	l.mu.Lock()
@@ -228,7 +234,7 @@
 	}
 	a = runtable.RenewAnswer{Result: runtable.RenewOK, Clock: l.clock()}
 	for ref := range l.running {
-		a.Running = append(a.Running, runtable.ListedRun{Ref: ref})
+		a.Running = append(a.Running, runtable.ListedRun{Ref: ref, Percent: l.percent(ref)})
 	}
 	a.Ended = append(a.Ended, l.ended...)
 	return a, len(a.Ended) > 0
--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -200,6 +200,11 @@
 	return room
 }
 
+// percent returns how far the run has come.
+func (r *liveRun) percent(now time.Time) int {
+	return int(100 * now.Sub(r.started) / r.ends.Sub(r.started))
+}
+
 // stopGrace is how long a stop may take at a backend server; the users' platform
 // sets it.
 const stopGrace = 50 * time.Millisecond
@@ -254,7 +259,7 @@
 	b.ended = left
 	a := runtable.RenewAnswer{Result: runtable.RenewOK, Clock: b.clock()}
 	for _, ref := range b.refs() {
-		a.Running = append(a.Running, runtable.ListedRun{Ref: ref})
+		a.Running = append(a.Running, runtable.ListedRun{Ref: ref, Percent: b.running[ref].percent(b.w.now)})
 	}
 	a.Ended = append(a.Ended, b.ended...)
 	return a
--- a/jobs/runtable/calls.go
+++ b/jobs/runtable/calls.go
@@ -74,6 +74,7 @@
 type ListedRun struct {
 	Ref        wire.RunRef
 	Checkpoint string
+	Percent    int // how far it has come; 0 for all where the backend server does not tell
 }
 
 // ListedEnd is an end that the backend server remembers.
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -41,6 +41,7 @@
 		t.reportAll()
 		t.touchOwners()
 	}
+	t.noteProgress(now, call.Seq, a.Running)
 	t.resolveVerified(now, call.Seq, running)
 	t.acknowledge()
 }
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -66,6 +66,7 @@
 	t.ends = make(map[uint64]*end)
 	t.outcomes = newOutcomes()
 	t.seen, t.acked = 0, 0
+	t.tellsProgress = false
 	t.token = 0
 	t.clock, t.clockAt = 0, time.Time{}
 	t.granted = 0
--- a/jobs/runtable/outcomes.go
+++ b/jobs/runtable/outcomes.go
@@ -27,10 +27,10 @@
 func (o *outcomes) ended(now time.Time, r *run, how wire.End) {
 	switch how {
 	case wire.EndDone:
-		o.ran(r.slowness(now))
+		o.ran(r.slowness(now.Sub(r.started)))
 		o.failing -= smoothing * o.failing
 	case wire.EndStraggled:
-		o.ran(r.slowness(now))
+		o.ran(r.slowness(r.expected(now)))
 	case wire.EndFailed:
 		o.failing += smoothing * (1 - o.failing)
 	}
@@ -44,23 +44,27 @@
 	o.slowness += weight * (slowness - o.slowness)
 }
 
-// outcomesNow returns the outcomes as if the runs had ended by now that already take
-// longer than most: a backend server that has become slow, or does nothing, is known
-// before its runs end.
+// outcomesNow returns the outcomes as if the runs had ended that take longer than most by
+// now, or will at their present pace: a backend server that has become slow, or does
+// nothing, is known before its runs end.
 func (t *Table) outcomesNow(now time.Time) outcomes {
 	o := t.outcomes
-	slower := func(r *run) bool { return r.state == runRunning && r.slowness(now) > t.outcomes.slowness }
+	slower := func(r *run) bool { return r.state == runRunning && r.slowness(r.expected(now)) > t.outcomes.slowness }
 	for _, ref := range t.refsWhere(slower) {
-		o.ran(t.runs[ref].slowness(now))
+		r := t.runs[ref]
+		o.ran(r.slowness(r.expected(now)))
 	}
 	return o
 }
 
-// slowness returns how long the run has been running as a multiple of its estimate; 1
-// if either is not known.
-func (r *run) slowness(now time.Time) float64 {
+// mostSlowness bounds what one run can say: one that stands still would take for ever.
+const mostSlowness = 20
+
+// slowness returns so long a time as a multiple of the run's estimate; 1 if that is not
+// known.
+func (r *run) slowness(took time.Duration) float64 {
 	if r.order.EstimateMS <= 0 || r.started.IsZero() || r.needUnknown {
 		return 1
 	}
-	return float64(now.Sub(r.started).Milliseconds()) / float64(r.order.EstimateMS)
+	return min(mostSlowness, float64(took.Milliseconds())/float64(r.order.EstimateMS))
 }
--- /dev/null
+++ b/jobs/runtable/progress.go
@@ -0,0 +1,76 @@
+package runtable
+
+import (
+	"fmt"
+	"time"
+)
+
+// progress is how far a run has come, and how long it will take at its present pace.
+type progress struct {
+	at       time.Time     // when percent was heard, or the run started
+	percent  int           // then
+	expected time.Duration // from its start to its end; 0 while that is not known
+}
+
+// A pace is worked out over paceLeast, and over the paceShare of longer runs: the percent
+// is a whole number, and some of it is chance. Chosen, not measured.
+const (
+	paceLeast = 60 * time.Millisecond
+	paceShare = 0.25
+)
+
+// standsStill is how long a run is expected to take that does not advance.
+const standsStill = 24 * time.Hour
+
+// done is the percent of a run that has ended.
+const done = 100
+
+// noteProgress takes what a list says of the runs here. A list that was overtaken says
+// nothing.
+func (t *Table) noteProgress(now time.Time, seq uint64, running []ListedRun) {
+	if seq <= t.progressSeq {
+		return
+	}
+	t.progressSeq = seq
+	for i := range running {
+		l := &running[i]
+		t.tellsProgress = t.tellsProgress || l.Percent > 0
+		if r := t.runs[l.Ref]; r != nil && r.state == runRunning && t.tellsProgress {
+			r.advance(now, l.Percent)
+		}
+	}
+}
+
+// advance works out the pace of the run once enough time has passed since the last time.
+func (r *run) advance(now time.Time, percent int) {
+	if r.progress.at.IsZero() {
+		r.progress.at = r.started
+	}
+	passed := now.Sub(r.progress.at)
+	if passed < max(paceLeast, time.Duration(paceShare*float64(r.estimate()))) {
+		return
+	}
+	left := standsStill
+	if made := percent - r.progress.percent; made > 0 {
+		left = passed * time.Duration(done-percent) / time.Duration(made)
+	}
+	r.progress = progress{at: now, percent: percent, expected: now.Sub(r.started) + left}
+}
+
+// expected returns how long the run takes from its start to its end: at its present pace,
+// or as long as it has been running where that is more, or no pace is known.
+func (r *run) expected(now time.Time) time.Duration {
+	return max(now.Sub(r.started), r.progress.expected)
+}
+
+func (r *run) estimate() time.Duration { return time.Duration(r.order.EstimateMS) * time.Millisecond }
+
+// pace says for the log how long the run has taken, will take, and may take.
+func (r *run) pace(now time.Time) string {
+	took := now.Sub(r.started).Round(time.Millisecond)
+	expected := r.expected(now).Round(time.Millisecond)
+	if expected >= standsStill {
+		return fmt.Sprintf("stands still after %v, limit %v", took, r.limit())
+	}
+	return fmt.Sprintf("%v of %v, limit %v", took, expected, r.limit())
+}
--- a/jobs/runtable/run.go
+++ b/jobs/runtable/run.go
@@ -29,6 +29,7 @@
 	verifyAfter uint64    // a renewal later than this one decides what became of it
 	stop        bool      // stop as soon as the start is answered
 	unanswered  bool      // an order had no answer: it may be carried out late
+	progress    progress  // what lists have said of it
 	straggled   bool      // was stopped since it was over its limit
 	needUnknown bool      // was ordered by an earlier process, and its owner has not told its need
 }
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -67,9 +67,13 @@
 	seen     uint64          // greatest number of an end that was listed
 	acked    uint64          // every end up to it is stored by its owner
 
-	renewSeq   uint64
-	unanswered int                 // renewals in a row that had no answer
-	overdue    map[uint64]struct{} // renewals that may still be answered, by Seq
+	renewSeq uint64
+	// progressSeq is the renewal that told of progress last, and tellsProgress whether any
+	// of this life has.
+	progressSeq   uint64
+	tellsProgress bool
+	unanswered    int                 // renewals in a row that had no answer
+	overdue       map[uint64]struct{} // renewals that may still be answered, by Seq
 	// unansweredAt is when a call of any kind last had no answer.
 	unansweredAt time.Time
 	leaseEnds    time.Time     // when the backend server's lease is over for certain
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -528,6 +528,73 @@
 	})
 })
 
+var _ = Describe("the progress of a run", func() {
+	const estimate = 200
+	// started is a table with one run of 200 ms by its estimate, of which the limit is 750.
+	started := func() *fixture {
+		f := newFixture().ready()
+		f.estimate, f.limit = estimate, 750
+		f.order(7, ref(0, 1))
+		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
+		return f
+	}
+	// tell lets time pass and then has the backend server tell how far the run has come.
+	tell := func(f *fixture, after time.Duration, percent int) runtable.Effects {
+		f.pass(after)
+		f.hold([]runtable.ListedRun{{Ref: ref(0, 1), Percent: percent}})
+		f.pass(0)
+		return f.take()
+	}
+
+	It("has it stopped as soon as it would be over its limit at its pace", func() {
+		f := started()
+		Expect(tell(f, 30*time.Millisecond, 2).Stops).To(BeEmpty(), "too soon to tell")
+		Expect(tell(f, 40*time.Millisecond, 5).Stops).To(HaveLen(1), "1,400 ms at that pace")
+		f.hold(nil, runtable.ListedEnd{Number: 1, Ref: ref(0, 1), Valid: true, How: wire.EndStopped})
+		Expect(how(ends(f.take())[0])).To(Equal(wire.EndStraggled))
+	})
+
+	It("has it stopped when it stands still, however far it has come", func() {
+		f := started()
+		Expect(tell(f, 70*time.Millisecond, 35).Stops).To(BeEmpty())
+		Expect(tell(f, 70*time.Millisecond, 35).Stops).To(HaveLen(1))
+	})
+
+	It("lets it go on that is no slower than its limit allows", func() {
+		f := started()
+		for i := range 6 {
+			Expect(tell(f, 70*time.Millisecond, 12*(i+1)).Stops).To(BeEmpty(), "583 ms at that pace")
+		}
+	})
+
+	It("tells coordinators early that runs are slow", func() {
+		f := started()
+		f.heartbeat(7)
+		tell(f, 70*time.Millisecond, 10) // 700 ms, 3.5 times the estimate
+		f.heartbeat(7)
+		var slowness uint32
+		for _, s := range f.take().Sends {
+			if m, ok := s.Message.(*wire.WorkerStatus); ok {
+				slowness = m.Slowness
+			}
+		}
+		Expect(slowness).To(BeNumerically("~", 150, 2), "a fifth of the way from 1 to 3.5")
+	})
+
+	It("says nothing where the backend server tells none, or an older list comes later", func() {
+		f := started()
+		Expect(tell(f, 70*time.Millisecond, 0).Stops).To(BeEmpty())
+		Expect(tell(f, 70*time.Millisecond, 0).Stops).To(BeEmpty())
+		g := started()
+		older, _ := g.table.NextRenewal(g.now)
+		Expect(tell(g, 70*time.Millisecond, 35).Stops).To(BeEmpty())
+		g.pass(70 * time.Millisecond)
+		g.table.RenewAnswered(g.now, older, runtable.RenewAnswer{Result: runtable.RenewOK, Clock: g.clock(), Running: []runtable.ListedRun{{Ref: ref(0, 1), Percent: 1}}})
+		g.pass(0)
+		Expect(g.take().Stops).To(BeEmpty())
+	})
+})
+
 var _ = Describe("renewals", func() {
 	unanswered := func(f *fixture) runtable.RenewCall {
 		call, ok := f.table.NextRenewal(f.now)
