--- a/jobs/durable/check.go
+++ b/jobs/durable/check.go
@@ -7,9 +7,9 @@
 
 // Bounds of a job.
 const (
-	MaxSpec  = 4000  // bytes
+	MaxSpec  = 4000  // bytes; the users' bound
 	MaxSteps = 256   // of a job; chosen, not measured
-	MaxTasks = 10000 // of all steps
+	MaxTasks = 10000 // of all steps; chosen, not measured: the users' largest jobs have 150
 )
 
 // FieldError names the field of a submission that is out of bounds.
--- a/jobs/fakestore/state.go
+++ b/jobs/fakestore/state.go
@@ -15,7 +15,7 @@
 )
 
 // rememberedAnswers is how many of the last appends of a partition get their
-// first answer again.
+// first answer again, as the users' store has it.
 const rememberedAnswers = 5
 
 // State is the log service without its connections: what each call does when
--- a/jobs/runtable/outcomes.go
+++ b/jobs/runtable/outcomes.go
@@ -58,6 +58,7 @@
 }
 
 // mostSlowness bounds what one run can say: one that stands still would take for ever.
+// Chosen, not measured: it ejects at once and is forgotten in five sound runs.
 const mostSlowness = 20
 
 // slowness returns so long a time as a multiple of the run's estimate; 1 if that is not
--- a/jobs/runtable/progress.go
+++ b/jobs/runtable/progress.go
@@ -19,7 +19,8 @@
 	paceShare = 0.25
 )
 
-// standsStill is how long a run is expected to take that does not advance.
+// standsStill is how long a run is expected to take that does not advance. Chosen: more
+// than any limit.
 const standsStill = 24 * time.Hour
 
 // done is the percent of a run that has ended.
--- a/lib/loop/loop.go
+++ b/lib/loop/loop.go
@@ -5,7 +5,8 @@
 
 import "time"
 
-// batch is how many events are handled before their effects are performed.
+// batch is how many events are handled before their effects are performed. Chosen, not
+// measured: some milliseconds of work.
 const batch = 512
 
 // Loop carries events of type E to the goroutine that runs it.
--- a/lib/peer/conn.go
+++ b/lib/peer/conn.go
@@ -105,7 +105,8 @@
 }
 
 // Sizes of buffers. Most messages are small, and a process has hundreds of
-// connections: the reader's buffer, which each keeps, is small too.
+// connections: the reader's buffer, which each keeps, is small too. In
+// bytes; chosen, not measured.
 const (
 	bufferBytes = 64 << 10 // of the writer
 	readBytes   = 4 << 10  // of each reader
--- a/submissions/dispatch/place.go
+++ b/submissions/dispatch/place.go
@@ -77,7 +77,7 @@
 }
 
 // maxPlaceBytes bounds the payloads in one message, well under the bound of a
-// frame; a payload alone may be larger.
+// frame; a payload alone may be larger. In bytes; chosen, not measured.
 const maxPlaceBytes = 1 << 20
 
 func (c *Core) sendTasks(now time.Time, r *record, agent string, indexes []int, limit uint32) {
--- a/submissions/dispatch/watch.go
+++ b/submissions/dispatch/watch.go
@@ -13,7 +13,8 @@
 
 const (
 	watchEvery = 50 * time.Millisecond // between looks; a quarter of placement.ping_after
-	// pausedGap is how far apart two ticks are when it was us who stood still.
+	// pausedGap is how far apart two ticks are when it was us who stood still. Chosen, not
+	// measured: four looks.
 	pausedGap = 200 * time.Millisecond
 )
 
--- a/submissions/entry/entry.go
+++ b/submissions/entry/entry.go
@@ -32,7 +32,7 @@
 	eventBacklog = 4096                 // events that may wait for the control loop; chosen, not measured
 	tickEvery    = 5 * time.Millisecond // between looks at the time; below the shortest limit, of 10 ms
 	flushTimeout = time.Second          // for messages that wait to be written at a stop; chosen, not measured
-	absentFor    = 30 * time.Second     // before an unlisted, unconnected agent is given up
+	absentFor    = 30 * time.Second     // before an unlisted, unconnected agent is given up; chosen, not measured
 )
 
 // Entry is a running entry.
--- a/submissions/entry/ids.go
+++ b/submissions/entry/ids.go
@@ -20,7 +20,7 @@
 
 const (
 	maxIDs      = 1000 // of one question; chosen, not measured
-	drawsForOne = 64   // tries at an ID whose holder is there
+	drawsForOne = 64   // tries at an ID whose holder is there; chosen, not measured
 )
 
 // ids hands out new submission IDs whose holders are there now. A caller that
--- a/submissions/placement/pool.go
+++ b/submissions/placement/pool.go
@@ -43,7 +43,7 @@
 }
 
 // fullShare is the share of the pool's queues up to which whole jobs are taken.
-// The rest is for what an entry does not know of the others.
+// The rest is for what an entry does not know of the others. Chosen, not measured.
 const fullShare = 0.7
 
 // Full returns whether n new tasks would fill the queues so far that some of
--- a/submissions/queue/fair.go
+++ b/submissions/queue/fair.go
@@ -18,7 +18,7 @@
 }
 
 // handicap is about what a task costs those behind it: its time divided by the
-// slots that work.
+// slots that work. Chosen, not measured: a task of 100 ms over ten slots.
 const handicap = 10 * time.Millisecond
 
 type workspaceQueue struct {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -38,13 +38,14 @@
 }
 
 // DefaultMaxFrame is the frame bound that the daemons use unless told
-// otherwise, in bytes.
+// otherwise, in bytes. Chosen, not measured.
 const DefaultMaxFrame = 4 << 20
 
 const (
 	lengthBytes = 4 // of the length before each frame
 	kindBytes   = 1 // of the kind after it
-	// firstRead bounds what is allocated on the word of a length field alone.
+	// firstRead bounds what is allocated on the word of a length field alone, in
+	// bytes. Chosen, not measured.
 	firstRead = 64 << 10
 )
 
