--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -348,6 +348,17 @@
 		Expect(how(ends(f.take())[0])).To(Equal(wire.EndLost))
 	})
 
+	It("are forgotten by word of their owner alone", func() {
+		f := newFixture().ready()
+		run(f, ref(0, 1))
+		f.hold(nil, runtable.ListedEnd{Number: 1, Ref: ref(0, 1), Valid: true, How: wire.EndDone})
+		f.table.OwnerUp(f.now, "conn-2", "c1/1")
+		f.table.Kept(f.now, "conn-2", &wire.EndsKept{Runs: []wire.RunRef{ref(0, 1)}})
+		Expect(f.hold(nil).LastSeen).To(BeZero())
+		f.table.Kept(f.now, owner, &wire.EndsKept{Runs: []wire.RunRef{ref(0, 1)}})
+		Expect(f.hold(nil).LastSeen).To(BeEquivalentTo(1))
+	})
+
 	It("come again under a new owner until they are kept", func() {
 		f := newFixture().ready()
 		run(f, ref(0, 1))
