--- a/jobs/runtable/outcomes.go
+++ b/jobs/runtable/outcomes.go
@@ -10,8 +10,8 @@
 // thought: the backend server has recovered, and few runs come to say so while it gets
 // probes alone. Chosen, not measured.
 const (
-	smoothing  = 0.2
-	recovering = 0.5
+	smoothing  = 0.2 // share of the new run
+	recovering = 0.5 // the same
 )
 
 // outcomes is what the runs here were like lately, of all owners together: each owner
--- a/jobs/runtable/progress.go
+++ b/jobs/runtable/progress.go
@@ -15,8 +15,8 @@
 // A pace is worked out over paceLeast, and over the paceShare of longer runs: the percent
 // is a whole number, and some of it is chance. Chosen, not measured.
 const (
-	paceLeast = 60 * time.Millisecond
-	paceShare = 0.25
+	paceLeast = 60 * time.Millisecond // a short task
+	paceShare = 0.25                  // of the estimate
 )
 
 // standsStill is how long a run is expected to take that does not advance. Chosen: more
--- a/jobs/runtable/renew.go
+++ b/jobs/runtable/renew.go
@@ -73,21 +73,23 @@
 	switch a.Result {
 	case RenewDead:
 		t.lifeOver(now, reasonRefused)
-		return
 	case RenewWrongLife:
 		t.lifeOver(now, "wrong_life")
-		return
 	case RenewUnanswered:
 		t.unansweredAt = now
 		if !overdue {
 			t.unanswered++
 		}
-		return
 	case RenewFenced:
 		t.setClock(now, a.Clock)
 		t.newToken()
-		return
+	case RenewOK:
+		t.renewed(now, call, &a)
 	}
+}
+
+// renewed takes the answer to a renewal that was carried out.
+func (t *Table) renewed(now time.Time, call RenewCall, a *RenewAnswer) {
 	t.setClock(now, a.Clock)
 	t.checkSilence(now)
 	if call.Token == 0 {
@@ -97,7 +99,7 @@
 	if call.Token != t.token || t.lapsing {
 		return
 	}
-	t.listed(now, call, &a)
+	t.listed(now, call, a)
 }
 
 // newToken takes a fencing token above that of any earlier process here: the
--- a/jobs/runtable/status.go
+++ b/jobs/runtable/status.go
@@ -47,7 +47,7 @@
 }
 
 func (t *Table) status(now time.Time, o *owner, lately *outcomes) *wire.WorkerStatus {
-	const percent = 100
+	const percent = 100 // of one, as messages carry shares
 	s := &wire.WorkerStatus{
 		Slowness:     uint32(percent * lately.slowness),
 		Failing:      uint32(percent * lately.failing),
--- a/lib/peer/link.go
+++ b/lib/peer/link.go
@@ -27,7 +27,7 @@
 // doubled, for peers that are far away or slow. A limit of 1 s for each attempt left
 // half of the connections missing for 1 s after a loss of power.
 const (
-	firstDialLimit = 150 * time.Millisecond
+	firstDialLimit = 150 * time.Millisecond // of the first attempt; chosen, not measured
 	lastDialLimit  = time.Second
 )
 
--- a/scripts/pairs/bounds/site.go
+++ b/scripts/pairs/bounds/site.go
@@ -110,46 +110,51 @@
 // many tasks at once as it holds in whole. Servers that fail or hang do none, slow ones
 // so much less; those that leave are gone for good.
 func (s *site) roomIn(d *day, events []event, from float64) float64 {
-	servers, slots := 0, 0.0
-	need := s.need()
+	servers, slots := s.slots()
+	lost, off := 0.0, 0.0
+	for _, e := range events {
+		kind, _, _ := strings.Cut(e.Kind, " ")
+		if kind == "closing" {
+			off = max(off, overlap(from, e.At, e.At+d.Closing.Down))
+			continue
+		}
+		lost += d.lostTo(kind, e, from)
+	}
+	return slots * max(0, 1-lost/servers) * (1 - off) * windowSeconds
+}
+
+// slots returns how many servers there are, and how many tasks they hold at once.
+func (s *site) slots() (servers, slots float64) {
+	node := s.Services[0].Node
 	for _, m := range s.Machines {
 		if m.Class != "side" {
 			continue
 		}
 		for range m.Count {
-			node := s.Services[0].Node
-			slots += math.Floor(node.CPU * node.Sizes[servers%len(node.Sizes)] / need)
+			size := node.Sizes[int(servers)%len(node.Sizes)]
+			slots += math.Floor(node.CPU * size / s.need())
 			servers++
 		}
 	}
-	lost := 0.0 // servers
-	off := 0.0  // share of the window without power
-	for _, e := range events {
-		n, slow := 0, 1.0
-		if _, err := fmt.Sscanf(e.What, "%d servers", &n); err != nil {
-			n = 0
-		}
-		end := e.To
-		kind, _, _ := strings.Cut(e.Kind, " ")
-		switch kind {
-		case "srv_slow":
-			slow = d.strength(kind, e.At)
-		case "scale_in":
-			end = math.Inf(1)
-		case "closing":
-			off = max(off, overlap(from, e.At, e.At+d.Closing.Down))
-		case "srv_grey", "srv_crash", "srv_flap":
-		default:
-			n = 0
-		}
-		if slow > 1 {
-			lost += float64(n) * (1 - 1/slow) * overlap(from, e.At, end)
-		} else {
-			lost += float64(n) * overlap(from, e.At, end)
-		}
+	return servers, slots
+}
+
+// lostTo returns how many servers the disruption takes in the window; a slow one counts in
+// part.
+func (d *day) lostTo(kind string, e event, from float64) float64 {
+	n := 0.0
+	if _, err := fmt.Sscanf(e.What, "%f servers", &n); err != nil {
+		return 0 // it does not strike servers
+	}
+	switch kind {
+	case "srv_slow":
+		return n * (1 - 1/d.strength(kind, e.At)) * overlap(from, e.At, e.To)
+	case "scale_in":
+		return n * overlap(from, e.At, math.Inf(1))
+	case "srv_grey", "srv_crash", "srv_flap":
+		return n * overlap(from, e.At, e.To)
 	}
-	share := max(0, 1-lost/float64(servers)) * (1 - off)
-	return slots * share * windowSeconds
+	return 0
 }
 
 // strength returns how strong the disruption is that begins then.
