runtable: keep the lease of a coordinator whose connections came and went in another order

Cause: the worker forgets the leases of coordinators that are gone and have nothing here, and took a coordinator for gone whose lease named a connection that was lost. When connections of one coordinator were heard of in another order than they were made, the older, lost one had the lease; it was forgotten once over, and the next heartbeat over the living connection ended the process. Orders over that connection were refused before that, since another had the lease: an older fault. Change: the connection over which a coordinator was heard last has its lease, and each heartbeat makes it anew if it is missing. Test: a spec of runtable, seen failing with that very panic.

--- a/jobs/runtable/owners.go
+++ b/jobs/runtable/owners.go
@@ -24,6 +24,13 @@
 	o := &owner{member: member}
 	t.owners[name] = o
 	t.touch(name, o)
+	t.memberLease(name, member)
+}
+
+// memberLease returns the lease of a coordinator on the runs of its best-effort jobs, and
+// makes the connection its owner: the one over which the coordinator was heard last.
+// Several may come and go in any order.
+func (t *Table) memberLease(name, member string) *ownerLease {
 	key := leaseKey{member: member}
 	l := t.leases[key]
 	if l == nil {
@@ -31,6 +38,7 @@
 		t.leases[key] = l
 	}
 	l.owner = name
+	return l
 }
 
 // OwnerDown tells the table that the connection is lost. The owner's leases
@@ -48,7 +56,7 @@
 	}
 	o.heartbeatSeq = m.Seq
 	t.touch(name, o)
-	t.renewOwner(t.leases[leaseKey{member: o.member}], m.Echo, t.cfg.BestEffortLease)
+	t.renewOwner(t.memberLease(name, o.member), m.Echo, t.cfg.BestEffortLease)
 	for _, p := range m.Partitions {
 		if !t.renewPartition(name, p, m) {
 			o.fenced = append(o.fenced, p.Partition)
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -348,6 +348,16 @@
 		Expect(how(ends(f.take())[0])).To(Equal(wire.EndLost))
 	})
 
+	It("may be ordered by a coordinator whose connections came and went in another order", func() {
+		f := newFixture().ready()
+		f.table.OwnerUp(f.now, "older", member) // heard of later than the newer one
+		f.table.OwnerDown(f.now, "older")
+		f.passHolding(f.cfg.BestEffortLease.D() + 100*time.Millisecond)
+		f.heartbeat(7) // over the connection that lasts
+		f.order(0, ref(0, wire.BestEffortRun+1))
+		Expect(f.take().Starts).To(HaveLen(1))
+	})
+
 	It("are forgotten by word of their owner alone", func() {
 		f := newFixture().ready()
 		run(f, ref(0, 1))
