runtable: call no renewal overdue that has been answered

Cause: the answer to a renewal and the end of the patience with it can come in the same moment; the word that it is overdue then came after the answer, counted as a renewal without one, and left an entry that nothing removed. Found by reading. Change: the table keeps the renewals that are on their way, and takes the word for these alone. Test: a spec, seen failing (the next renewal did not wait).

--- a/jobs/runtable/renew.go
+++ b/jobs/runtable/renew.go
@@ -11,6 +11,7 @@
 		return RenewCall{}, false
 	}
 	t.renewSeq++
+	t.renewals[t.renewSeq] = false
 	call = RenewCall{Instance: t.identity.Instance, Seq: t.renewSeq, Token: t.token, LastSeen: t.acked, Patience: t.cfg.RenewPatience, Limit: t.renewLimit()}
 	if t.token == 0 {
 		return call, true
@@ -53,17 +54,21 @@
 // RenewOverdue tells the table that a RenewCall has had no answer within its wait and
 // Settings.RenewPatience. Its answer may still come; the next renewal asks at once.
 func (t *Table) RenewOverdue(call RenewCall) {
+	overdue, onItsWay := t.renewals[call.Seq]
+	if !onItsWay || overdue {
+		return // it was answered in the same moment
+	}
+	t.renewals[call.Seq] = true
 	if call.Instance == t.identity.Instance && t.known {
 		t.unanswered++
-		t.overdue[call.Seq] = struct{}{}
 	}
 }
 
 // RenewAnswered tells the table of the answer to a RenewCall. Answers may come in any
 // order.
 func (t *Table) RenewAnswered(now time.Time, call RenewCall, a RenewAnswer) {
-	_, overdue := t.overdue[call.Seq]
-	delete(t.overdue, call.Seq)
+	overdue := t.renewals[call.Seq]
+	delete(t.renewals, call.Seq)
 	if call.Instance != t.identity.Instance || !t.known {
 		return
 	}
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -72,8 +72,8 @@
 	// of this life has.
 	progressSeq   uint64
 	tellsProgress bool
-	unanswered    int                 // renewals in a row that had no answer
-	overdue       map[uint64]struct{} // renewals that may still be answered, by Seq
+	unanswered    int             // renewals in a row that had no answer
+	renewals      map[uint64]bool // those on their way, by Seq; whether they are overdue
 	// unansweredAt is when a call of any kind last had no answer.
 	unansweredAt time.Time
 	leaseEnds    time.Time     // when the backend server's lease is over for certain
@@ -116,7 +116,7 @@
 		leases:   make(map[leaseKey]*ownerLease),
 		owners:   make(map[string]*owner),
 		recent:   make(map[wire.RunRef]recentEnd),
-		overdue:  make(map[uint64]struct{}),
+		renewals: make(map[uint64]bool),
 		outcomes: newOutcomes(),
 	}
 }
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -656,6 +656,15 @@
 		Expect(f.hold(nil).Wait).NotTo(BeZero())
 	})
 
+	It("are not overdue that have been answered already", func() {
+		f := newFixture().ready()
+		call := f.hold(nil)
+		f.table.RenewOverdue(call)
+		next, _ := f.table.NextRenewal(f.now)
+		Expect(next.Wait).To(Equal(f.cfg.CalmRenewWait.D()))
+		Expect(next.Limit).To(Equal(f.cfg.RenewLimit.D()))
+	})
+
 	It("may be answered in any order: an older list brings no end again and hides no run", func() {
 		f := newFixture().ready()
 		f.order(7, ref(0, 1), ref(1, 1))
