scheduler, coordinator: choose workers again once, when a shortage begins

Change: the core notes when tasks begin to fit nowhere; the coordinator's flag is gone. The search for one address among members stands once, in store.MemberAt. Test: a spec, seen failing.

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -58,7 +58,6 @@
 	announcedAt time.Time                    // zero when they are to be sent one at once
 	countedAt   time.Time                    // when our own jobs were last counted
 	chosenAt    time.Time                    // when the workers to connect to were last chosen
-	wantAll     bool                         // as many as the settings allow were wanted then
 	drainedAt   time.Time                    // when a planned stop began
 	leaving     bool                         // all partitions are given up
 	joinsFailed int                          // joins without success since the last with it
--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -31,21 +31,11 @@
 		}
 		first = false
 		close(c.membersRead)
-		k.Recalled(ownRecord(members, c.peers.Advertised()))
+		k.Recalled(store.MemberAt(members, c.peers.Advertised()))
 		go c.register(k)
 	})
 }
 
-// ownRecord returns the record of the address among those that are registered.
-func ownRecord(members []store.Member, address string) (m store.Member, found bool) {
-	for _, m := range members {
-		if m.Address == address {
-			return m, true
-		}
-	}
-	return store.Member{}, false
-}
-
 // membersChanged connects to processes that are new.
 func (c *Coordinator) membersChanged(now time.Time, members []store.Member) {
 	for _, m := range members {
@@ -103,14 +93,12 @@
 // wantedWorkers returns how many workers of each service our own demand asks for.
 func (c *Coordinator) wantedWorkers(now time.Time, workers []subset.Worker) subset.Wanted {
 	wanted := make(subset.Wanted)
-	c.wantAll = false
 	for _, w := range workers {
 		if _, known := wanted[w.Service]; known {
 			continue
 		}
 		n, all := c.core.WorkersWanted(now, w.Service)
 		if all {
-			c.wantAll = true
 			n = c.cfg.Subset.Size
 		}
 		wanted[w.Service] = n
@@ -119,9 +107,9 @@
 }
 
 // chooseAgain returns whether the workers are to be chosen again: now and then, and as
-// soon as a task fits at none of them.
+// soon as tasks begin to fit at none of them.
 func (c *Coordinator) chooseAgain(now time.Time) bool {
-	return now.Sub(c.chosenAt) >= chooseEvery || !c.wantAll && c.core.Short(c.chosenAt)
+	return now.Sub(c.chosenAt) >= chooseEvery || c.core.Short(c.chosenAt)
 }
 
 func preference(preferred, chosen bool) scheduler.Preference {
--- a/jobs/scheduler/demand.go
+++ b/jobs/scheduler/demand.go
@@ -9,6 +9,7 @@
 	before  int64     // the same, in the span before
 	spanAt  time.Time // when this span began
 	shortAt time.Time // when a task last fitted at no worker
+	began   time.Time // when that began: none had not fitted for demandSpan before
 }
 
 // demandSpan is for how long demand is remembered, and up to twice as long. Chosen, not
@@ -35,6 +36,14 @@
 	d.peak = max(d.peak, d.inUse)
 }
 
+// short notes that a task fits at no worker now.
+func (d *demand) short(now time.Time) {
+	if now.Sub(d.shortAt) >= demandSpan {
+		d.began = now
+	}
+	d.shortAt = now
+}
+
 // rotate begins a new span when the present one is over.
 func (d *demand) rotate(now time.Time) {
 	if now.Sub(d.spanAt) < demandSpan {
@@ -67,10 +76,10 @@
 	return int((asked + capacity - 1) / capacity), false
 }
 
-// Short returns whether a task has fitted at no worker since then.
+// Short returns whether tasks have begun to fit at no worker since then.
 func (c *Core) Short(since time.Time) bool {
 	for _, d := range c.demands {
-		if d.shortAt.After(since) {
+		if d.began.After(since) {
 			return true
 		}
 	}
--- a/jobs/scheduler/demand_test.go
+++ b/jobs/scheduler/demand_test.go
@@ -59,6 +59,10 @@
 		Expect(f.core.Short(before)).To(BeTrue())
 		_, all := f.core.WorkersWanted(f.now, "s")
 		Expect(all).To(BeTrue())
+		began := f.now
+		f.now = f.now.Add(time.Millisecond)
+		f.core.Take(f.now)
+		Expect(f.core.Short(began)).To(BeFalse(), "it is the same shortage")
 		f.now = f.now.Add(11 * time.Second)
 		Expect(wanted(f)).To(Equal(3))
 	})
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -23,7 +23,7 @@
 		q.moveOverdue(now)
 		workers := c.candidates(now, service)
 		if !c.dispatchHeap(now, &q.onTime, workers, orders) || !c.dispatchHeap(now, &q.overdue, workers, orders) {
-			c.demandOf(service).shortAt = now
+			c.demandOf(service).short(now)
 		}
 	}
 	for _, w := range ordered.KeysFunc(orders, byName) {
--- a/jobs/store/store.go
+++ b/jobs/store/store.go
@@ -57,6 +57,16 @@
 	Backend    *Backend // of a worker, once it is known
 }
 
+// MemberAt returns the member of the address.
+func MemberAt(members []Member, address string) (m Member, found bool) {
+	for _, m := range members {
+		if m.Address == address {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // Same returns whether the two say the same.
 func (m *Member) Same(o *Member) bool {
 	if m.Address != o.Address || m.Role != o.Role || m.DataCentre != o.DataCentre || (m.Backend == nil) != (o.Backend == nil) {
