peer, worker, runtable: state and calls that served nothing

Dialled connections had their limits set twice; a timer was kept and never read; the result of a renewal had an enum of its own beside runtable.RenewResult; that an owner is confirmed was asked where it has been told everything, which only a confirmed one is. Behaviour is meant to be the same.

--- a/jobs/runtable/lapse.go
+++ b/jobs/runtable/lapse.go
@@ -39,12 +39,11 @@
 func (t *Table) leasesOver(now time.Time) []leaseKey {
 	var over []leaseKey
 	for key, l := range t.leases {
+		isOver := !now.Before(l.expires)
 		switch {
-		case now.Before(l.expires):
-			l.stoppedAt = time.Time{}
-		case t.holds(key):
+		case isOver && t.holds(key):
 			over = append(over, key)
-		case key.member != "" && t.owners[l.owner] == nil:
+		case isOver && key.member != "" && t.owners[l.owner] == nil:
 			delete(t.leases, key)
 		default:
 			l.stoppedAt = time.Time{}
--- a/jobs/runtable/leases.go
+++ b/jobs/runtable/leases.go
@@ -58,10 +58,11 @@
 }
 
 // valid returns whether the coordinator may order the run: it has the lease,
-// under the epoch in force and confirmed, knows what was here before, and the lease lasts.
+// under the epoch in force, knows what was here before (which only a confirmed owner is
+// told), and the lease lasts.
 func (t *Table) valid(now time.Time, name string, order *wire.RunOrder, key leaseKey) bool {
 	l := t.leases[key]
-	return l != nil && l.owner == name && l.epoch == order.Epoch && l.reported && l.confirmed && now.Before(l.expires)
+	return l != nil && l.owner == name && l.epoch == order.Epoch && l.reported && now.Before(l.expires)
 }
 
 // renewOwner makes a lease count from the stamp that the owner echoes: a
--- a/jobs/worker/renew.go
+++ b/jobs/worker/renew.go
@@ -36,10 +36,10 @@
 			return
 		}
 		began := time.Now()
-		result := w.renewUntilOverdue(next.call, func() { <-free })
+		result, answered := w.renewUntilOverdue(next.call, func() { <-free })
 		switch {
-		case result == renewalOverdue:
-		case result != renewalOK:
+		case !answered:
+		case result != runtable.RenewOK:
 			loop.Sleep(w.halt, renewRetry)
 		case time.Since(began) < renewGap:
 			w.waitKick(renewGap)
@@ -47,38 +47,25 @@
 	}
 }
 
-// renewalResult says what is known of a renewal when the next may be made.
-type renewalResult uint8
-
-const (
-	renewalFailed renewalResult = iota
-	renewalOK
-	renewalOverdue // its answer may still come
-)
-
 // renewUntilOverdue makes a renewal, and returns when it is answered or overdue. Its
 // answer is posted whenever it comes; done is called then.
-func (w *Worker) renewUntilOverdue(call runtable.RenewCall, done func()) renewalResult {
-	answered := make(chan renewalResult, 1)
+func (w *Worker) renewUntilOverdue(call runtable.RenewCall, done func()) (result runtable.RenewResult, answered bool) {
+	results := make(chan runtable.RenewResult, 1)
 	go func() {
 		defer done()
 		answer := w.renew(call)
-		result := renewalFailed
-		if answer.Result == runtable.RenewOK {
-			result = renewalOK
-		}
 		// The answer comes first in the loop, the question for the next renewal after it.
 		w.loop.Post(renewalAnswered{call, answer})
-		answered <- result
+		results <- answer.Result
 	}()
 	overdue := time.NewTimer(call.Wait + call.Patience)
 	defer overdue.Stop()
 	select {
-	case result := <-answered:
-		return result
+	case result := <-results:
+		return result, true
 	case <-overdue.C:
 		w.loop.Post(renewalIsOverdue{call})
-		return renewalOverdue
+		return runtable.RenewUnanswered, false
 	}
 }
 
--- a/lib/peer/conn.go
+++ b/lib/peer/conn.go
@@ -15,7 +15,6 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/lichenfall/lichenfall/lib/tcp"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -128,16 +127,14 @@
 	closed  bool
 	cause   error
 
-	heard atomic.Int64 // frames that the peer has sent
-	check ackCheck     // of the writer
+	heard   atomic.Int64 // frames that the peer has sent
+	askedAt time.Time    // when the writer last sent a KeepAlive
 
 	wake chan struct{}
 	done chan struct{}
 }
 
 func newConn(nc net.Conn, opts Options) *Conn {
-	// Where the system refuses it, the limits of Options find a silent peer.
-	_ = tcp.Limit(nc)
 	return &Conn{
 		opts: opts,
 		nc:   nc,
--- a/lib/peer/listener.go
+++ b/lib/peer/listener.go
@@ -7,6 +7,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/lichenfall/lichenfall/lib/tcp"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -85,6 +86,8 @@
 		if err != nil {
 			return
 		}
+		// Where the system refuses it, the limits of Options find a silent peer.
+		_ = tcp.Limit(nc)
 		c := newConn(nc, l.opts)
 		if !l.add(c) {
 			c.Close(ErrClosed)
--- a/lib/peer/silence.go
+++ b/lib/peer/silence.go
@@ -17,23 +17,17 @@
 // 6 bytes a second and link, 1.9 KB/s for a process among 80 that all keep links to all.
 const keepAliveEvery = time.Second
 
-// ackCheck is what the writer remembers of its last KeepAlive.
-type ackCheck struct {
-	sentAt time.Time
-	due    *time.Timer
-}
-
 // withKeepAlive adds a KeepAlive to what is about to be written, if one is due, and has
 // the connection given up unless the peer says something within Options.AckLimit. A
 // connection on which nothing is written needs none.
 func (c *Conn) withKeepAlive(batch []wire.Message) []wire.Message {
 	now := time.Now()
-	if c.opts.AckLimit <= 0 || now.Sub(c.check.sentAt) < keepAliveEvery {
+	if c.opts.AckLimit <= 0 || now.Sub(c.askedAt) < keepAliveEvery {
 		return batch
 	}
-	c.check.sentAt = now
+	c.askedAt = now
 	heard := c.heard.Load()
-	c.check.due = time.AfterFunc(c.opts.AckLimit, func() { c.giveUpSilent(heard) })
+	time.AfterFunc(c.opts.AckLimit, func() { c.giveUpSilent(heard) })
 	return append(batch, &wire.KeepAlive{})
 }
 
