runtable, worker: tell a crash from a planned end in the log, and how many runs went with it

Cause: all runs that go with a backend server were logged as lost connection_refused, whether it had crashed or left, and whether the run had begun or its start was unanswered. Change: backend_lost says announced where the server had said that it would leave, and how many runs went with it; run_lost says start_unanswered where the run may have begun or not. Ruled out: counting in the coordinator alone; only the worker knows what ran there.

--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -27,6 +27,8 @@
 	reasonRefused             = "connection_refused" // nothing listens any more
 	reasonLifeOver            = "life_over"          // the backend server has another life now
 	reasonOvertaken           = "overtaken"          // a report that was sent later has come before
+	suffixAnnounced           = " announced"         // the backend server had said that it would leave
+	suffixUnanswered          = " start_unanswered"  // the run may have begun or not
 )
 
 // Note is a decision worth a line in the log.
@@ -34,6 +36,7 @@
 	What   Decision
 	Ref    wire.RunRef // empty where it is about no single run
 	Reason string
+	Runs   int // how many runs went with it; 0 where it is about one or none
 	// Frequent marks a decision of which there may be many a second in ordinary
 	// work, or in one trouble: such lines are sampled.
 	Frequent bool
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -96,6 +96,9 @@
 	if l == nil {
 		return
 	}
+	if how == wire.EndLost && r.started.IsZero() {
+		reason += suffixUnanswered
+	}
 	t.note(Decision(runEndPrefix+how.String()), r.order.Ref, reason)
 	t.sendEnd(l.owner, wire.RunEnd{Ref: r.order.Ref, How: uint8(how), Reason: reason, RunMS: r.age(now)})
 }
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -61,7 +61,7 @@
 
 // lifeOver ends all runs: the process that ran them is gone.
 func (t *Table) lifeOver(now time.Time, reason string) {
-	t.note(BackendLost, wire.RunRef{}, reason)
+	t.noteLost(reason)
 	t.endAll(now, wire.EndLost, reason)
 	t.ends = make(map[uint64]*end)
 	t.outcomes = newOutcomes()
@@ -78,6 +78,14 @@
 	t.touchOwners()
 }
 
+// noteLost says for the log how the life ended, and how many runs went with it.
+func (t *Table) noteLost(reason string) {
+	if !t.identity.Ready {
+		reason += suffixAnnounced
+	}
+	t.effects.Notes = append(t.effects.Notes, Note{What: BackendLost, Reason: reason, Runs: len(t.runs)})
+}
+
 // endAll ends all runs that are here, each in the way given.
 func (t *Table) endAll(now time.Time, how wire.End, reason string) {
 	for _, ref := range t.refs() {
--- a/jobs/worker/perform.go
+++ b/jobs/worker/perform.go
@@ -49,13 +49,16 @@
 
 func (w *Worker) logNote(now time.Time, n *runtable.Note) {
 	w.metrics.Decision(string(n.What))
-	fields := make([]zap.Field, 0, 3)
+	fields := make([]zap.Field, 0, 4)
 	if n.Ref != (wire.RunRef{}) {
 		fields = append(fields, zap.String("task", n.Ref.Task.String()), zap.Uint32("run", n.Ref.Run))
 	}
 	if n.Reason != "" {
 		fields = append(fields, zap.String("reason", n.Reason))
 	}
+	if n.Runs > 0 {
+		fields = append(fields, zap.Int("runs", n.Runs))
+	}
 	if n.Frequent {
 		w.log.Sampled(now, string(n.What), fields...)
 		return
