scheduler, runtable: give up a task that crashes one backend server after another

Cause: an end without a word of how (lost) was no fault of the task, by rule, and counted for nothing; so the one task that causes such ends was started anew at once, elsewhere, for as long as its job lived. Class: a retry without an account, because the end that would have to be counted has no witness left. Ruled out: a delay before the next start (all servers still go, later); counting lost runs as failed attempts (only failed ones count, and queues allow more of them than servers); counting by run (numbers of best-effort runs come again at another coordinator); by task at one coordinator alone (a trace showed the callers' resends beginning anew: with a limit of three). Change: a worker tells a crash from a planned end, and of each run that went with it whether it was at work and whether it was the only suspect. Coordinators count the lives of servers that crashed under a task: two for the only suspect of a best-effort job, three, or four where no answer told whether the run had begun; then the job has failed. Kept with the progress, or told to all coordinators and remembered beyond the job. Suspects are placed apart. A start to which no connection could be made is not_run and no crash.

--- a/jobs/coordinator/announce.go
+++ b/jobs/coordinator/announce.go
@@ -42,11 +42,7 @@
 	for queue, jobs := range mine {
 		m.Counts = append(m.Counts, wire.QueueCount{Queue: queue, Jobs: jobs})
 	}
-	for _, l := range c.links {
-		if l.role == wire.RoleCoordinator {
-			c.sendPeer(l, m)
-		}
-	}
+	c.tellCoordinators(m)
 }
 
 // routesDiffer returns whether a call could go to the wrong place by what the
--- a/jobs/coordinator/events.go
+++ b/jobs/coordinator/events.go
@@ -141,9 +141,5 @@
 type groupLeft struct{}
 
 func (groupLeft) apply(c *Coordinator, _ time.Time) {
-	for _, l := range c.links {
-		if l.role == wire.RoleCoordinator {
-			c.sendPeer(l, &wire.HandOver{})
-		}
-	}
+	c.tellCoordinators(&wire.HandOver{})
 }
--- a/jobs/coordinator/links.go
+++ b/jobs/coordinator/links.go
@@ -116,6 +116,8 @@
 		c.forwardAnswered(m)
 	case *wire.QueueCounts:
 		c.announcementHeard(e.address, m)
+	case *wire.CrashNews:
+		c.core.HearCrashes(now, m)
 	case *wire.HandOver:
 		c.joinSoon()
 	}
--- a/jobs/coordinator/perform.go
+++ b/jobs/coordinator/perform.go
@@ -37,6 +37,9 @@
 	for _, address := range e.Reconnect {
 		c.reconnect(address)
 	}
+	if len(e.Crashes) > 0 {
+		c.tellCoordinators(&wire.CrashNews{Crashes: e.Crashes})
+	}
 	for i := range e.Notes {
 		c.logNote(now, &e.Notes[i])
 	}
@@ -52,6 +55,15 @@
 	}
 }
 
+// tellCoordinators sends a message to all other coordinators that are connected.
+func (c *Coordinator) tellCoordinators(m wire.Message) {
+	for _, l := range c.links {
+		if l.role == wire.RoleCoordinator {
+			c.sendPeer(l, m)
+		}
+	}
+}
+
 // sendPeer sends a message to another coordinator, if it is connected. One that
 // cannot be sent is lost with its connection, of which linkDown tells; what it
 // said is announced again when the connection is back.
--- a/jobs/durable/durable.go
+++ b/jobs/durable/durable.go
@@ -15,7 +15,7 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file durable.go -o durable_gen.go
-//msgp:tuple TaskID Resources Queue Step Submission Failure Progress
+//msgp:tuple TaskID Resources Queue Step Submission Failure Crash Progress
 //msgp:limit arrays:65536
 //msgp:ignore State
 
@@ -216,11 +216,24 @@
 	Runs []uint32
 }
 
+// Crash is a backend server that crashed under a run of a task. It is named by its life,
+// since a worker may tell of one again, and run numbers of jobs that are not kept may be
+// used again.
+type Crash struct {
+	Task     uint32 // number of the task, counted over all steps
+	Instance string // the life of the backend server
+	Begun    bool   // the run was at work; else its start had no answer yet
+}
+
+// Crashes are the crashes under the tasks of one job.
+type Crashes []Crash
+
 // Progress is the record of how far a job is. It replaces the one before.
 type Progress struct {
 	State    uint8 // a State; Queued stands for any that is not final
 	Done     Bitmap
 	Failures []Failure
+	Crashes  Crashes `msg:"-"` // follow the rest in the record, if there are any
 }
 
 // Bitmap is a set of task numbers.
--- a/jobs/durable/durable_gen.go
+++ b/jobs/durable/durable_gen.go
@@ -56,6 +56,125 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Crash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint32(o, z.Task)
+	o = msgp.AppendString(o, z.Instance)
+	o = msgp.AppendBool(o, z.Begun)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Crash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Task, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Task")
+		return
+	}
+	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Begun, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Begun")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Crash) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.StringPrefixSize + len(z.Instance) + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Crashes) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendArrayHeader(o, uint32(len(z)))
+	for za0001 := range z {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint32(o, z[za0001].Task)
+		o = msgp.AppendString(o, z[za0001].Instance)
+		o = msgp.AppendBool(o, z[za0001].Begun)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Crashes) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0002 > zc251dc21limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap((*z)) >= int(zb0002) {
+		(*z) = (*z)[:zb0002]
+	} else {
+		(*z) = make(Crashes, zb0002)
+	}
+	for zb0001 := range *z {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		(*z)[zb0001].Task, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001, "Task")
+			return
+		}
+		(*z)[zb0001].Instance, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001, "Instance")
+			return
+		}
+		(*z)[zb0001].Begun, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, zb0001, "Begun")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Crashes) Msgsize() (s int) {
+	s = msgp.ArrayHeaderSize
+	for zb0004 := range z {
+		s += 1 + msgp.Uint32Size + msgp.StringPrefixSize + len(z[zb0004].Instance) + msgp.BoolSize
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Failure) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/jobs/durable/durable_test.go
+++ b/jobs/durable/durable_test.go
@@ -103,6 +103,24 @@
 		Expect(jobs[job.ID].Progress.Failures).To(ConsistOf(durable.Failure{Task: 0, Runs: []uint32{1, 17}}))
 	})
 
+	It("keep the crashes under a job's tasks, and are as before without any", func() {
+		before := &durable.Progress{Done: durable.Bitmap{}.With(1)}
+		plain, err := durable.ProgressRecord(job.ID, before)
+		Expect(err).NotTo(HaveOccurred())
+		tuple, err := before.MarshalMsg(nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(plain.Value).To(Equal(tuple))
+		crashes := durable.Crashes{{Task: 0, Instance: "i-3", Begun: true}, {Task: 1, Instance: "i-4"}}
+		p, err := durable.ProgressRecord(job.ID, &durable.Progress{Done: before.Done, Crashes: crashes})
+		Expect(err).NotTo(HaveOccurred())
+		jobs, malformed := durable.Collect([]durable.Record{p})
+		Expect(malformed).To(BeEmpty())
+		Expect(jobs[job.ID].Progress.Crashes).To(Equal(crashes))
+		p.Value = p.Value[:len(p.Value)-1]
+		_, malformed = durable.Collect([]durable.Record{p})
+		Expect(malformed).To(HaveLen(1))
+	})
+
 	It("step over malformed ones without losing their neighbours", func() {
 		good, err := durable.SubmissionRecord(job)
 		Expect(err).NotTo(HaveOccurred())
--- a/jobs/durable/record.go
+++ b/jobs/durable/record.go
@@ -30,9 +30,13 @@
 	return Record{Key: string(id) + string(submissionSuffix)}
 }
 
-// ProgressRecord returns the record of how far a job is.
+// ProgressRecord returns the record of how far a job is. That of a job without crashes
+// has nothing behind its progress: processes that know of no crashes read it too.
 func ProgressRecord(id JobID, p *Progress) (Record, error) {
 	value, err := p.MarshalMsg(nil)
+	if err == nil && len(p.Crashes) > 0 {
+		value, err = p.Crashes.MarshalMsg(value)
+	}
 	return Record{string(id) + string(progressSuffix), value}, errs.Wrap(err)
 }
 
@@ -84,9 +88,9 @@
 		}
 		j.Submission = s
 	case progressSuffix:
-		p := &Progress{}
-		if rest, err := p.UnmarshalMsg(value); err != nil || len(rest) != 0 {
-			return ErrMalformed
+		p, err := readProgress(value)
+		if err != nil {
+			return err
 		}
 		j.Progress = p
 	default:
@@ -94,3 +98,16 @@
 	}
 	return nil
 }
+
+// readProgress reads what ProgressRecord writes.
+func readProgress(value []byte) (*Progress, error) {
+	p := &Progress{}
+	rest, err := p.UnmarshalMsg(value)
+	if err == nil && len(rest) > 0 {
+		rest, err = p.Crashes.UnmarshalMsg(rest)
+	}
+	if err != nil || len(rest) != 0 {
+		return nil, ErrMalformed
+	}
+	return p, nil
+}
--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -73,6 +73,13 @@
 			j.crashed(ref.Task)
 		}
 	}
+	for _, e := range b.ended {
+		// An end that no worker has acknowledged is lost with the server; of a best-effort
+		// job nothing else is left of the run.
+		if j := b.w.clients[e.Ref.Task.Job]; j != nil && j.submission.BestEffort {
+			j.crashed(e.Ref.Task)
+		}
+	}
 	b.up = false
 }
 
--- a/jobs/promises/client_test.go
+++ b/jobs/promises/client_test.go
@@ -149,6 +149,7 @@
 	if !s.Final() {
 		return
 	}
+	known := j.final.Final()
 	j.final = s
 	switch s {
 	case durable.Completed:
@@ -169,6 +170,9 @@
 		if most < int(j.submission.Queue.MaxAttempts) && !j.mayBeGivenUp() {
 			j.w.broken("%s has failed after %d failed runs of a task", id, most)
 		}
+		if most < int(j.submission.Queue.MaxAttempts) && !j.crashing && !known {
+			j.w.counts["given up for crashes of others"]++
+		}
 	case durable.Cancelled:
 		if !j.cancelSent && !j.submission.BestEffort {
 			j.w.broken("%s is cancelled, and nobody asked for it", id)
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -368,6 +368,9 @@
 			c.toWorker(s.Message)
 		}
 	}
+	if len(e.Crashes) > 0 {
+		n.tellCrashes(&wire.CrashNews{Crashes: e.Crashes})
+	}
 	for _, r := range e.Replies {
 		if call := n.calls[r.Call]; call != nil {
 			delete(n.calls, r.Call)
@@ -380,3 +383,14 @@
 		}
 	}
 }
+
+// tellCrashes tells the other coordinators that can be reached.
+func (n *coordinatorNode) tellCrashes(m *wire.CrashNews) {
+	for _, o := range n.w.coordinators {
+		if o == n || !n.w.reaches(n.name, o.name) {
+			continue
+		}
+		life := o.life
+		n.w.after(time.Millisecond, func() { o.post(life, func() { o.core.HearCrashes(n.w.now, m) }) })
+	}
+}
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -19,7 +19,7 @@
 	StartRepeated    Decision = "start_repeated"     // an order to the backend server had no answer
 	StartUnanswered  Decision = "start_unanswered"   // still none: the run number is stopped
 	StragglerStopped Decision = "straggler_stopped"  // it ran for longer than its limit
-	runEndPrefix              = "run_"               // run_lost, run_lapsed, run_not_run: ends that we decide
+	runEndPrefix              = "run_"               // run_crashed, run_lost, run_lapsed, run_not_run: ends that we decide
 	reasonSealed              = "sealed"             // stopped before it was seen to run, so it never will
 	reasonStopping            = "sealing"            // the stop is on its way
 	reasonSilent              = "backend_silent"     // the backend server does not answer
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -92,15 +92,24 @@
 
 // endRun tells the owner of an end that the backend server does not list.
 func (t *Table) endRun(now time.Time, r *run, how wire.End, reason string) {
+	t.endRunWith(r, r.lostEnd(now, how, reason))
+}
+
+// lostEnd describes an end that the backend server does not list.
+func (r *run) lostEnd(now time.Time, how wire.End, reason string) wire.RunEnd {
+	if how == wire.EndCrashed && r.started.IsZero() {
+		reason += suffixUnanswered
+	}
+	return wire.RunEnd{Ref: r.order.Ref, How: uint8(how), Reason: reason, RunMS: r.age(now)}
+}
+
+func (t *Table) endRunWith(r *run, e wire.RunEnd) {
 	l := t.leases[r.lease]
 	if l == nil {
 		return
 	}
-	if how == wire.EndLost && r.started.IsZero() {
-		reason += suffixUnanswered
-	}
-	t.note(Decision(runEndPrefix+how.String()), r.order.Ref, reason)
-	t.sendEnd(l.owner, wire.RunEnd{Ref: r.order.Ref, How: uint8(how), Reason: reason, RunMS: r.age(now)})
+	t.note(Decision(runEndPrefix+wire.End(e.How).String()), e.Ref, e.Reason)
+	t.sendEnd(l.owner, e)
 }
 
 // sendEnd adds an end to the message that goes to the owner.
@@ -128,13 +137,25 @@
 		kept[ref] = true
 	}
 	for _, e := range t.ends {
-		if l := t.leases[e.lease]; kept[e.report.Ref] && l != nil && l.owner == name && l.reported {
+		if kept[e.report.Ref] && t.ownedBy(e.lease, name) {
 			e.stored = true
 		}
 	}
+	for ref, c := range t.crashed {
+		if kept[ref] && t.ownedBy(c.lease, name) {
+			delete(t.crashed, ref)
+		}
+	}
 	t.acknowledge()
 }
 
+// ownedBy returns whether the coordinator on the connection has the lease, and was told all
+// that is under it.
+func (t *Table) ownedBy(key leaseKey, name string) bool {
+	l := t.leases[key]
+	return l != nil && l.owner == name && l.reported
+}
+
 // acknowledge drops ends that are stored, up to the first that is not: the
 // backend server forgets them by number.
 func (t *Table) acknowledge() {
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -62,7 +62,11 @@
 // lifeOver ends all runs: the process that ran them is gone.
 func (t *Table) lifeOver(now time.Time, reason string) {
 	t.noteLost(reason)
-	t.endAll(now, wire.EndLost, reason)
+	if t.leaving() {
+		t.endAll(now, wire.EndLost, reason)
+	} else {
+		t.endCrashed(now, reason)
+	}
 	t.ends = make(map[uint64]*end)
 	t.outcomes = newOutcomes()
 	t.seen, t.acked = 0, 0
@@ -80,7 +84,7 @@
 
 // noteLost says for the log how the life ended, and how many runs went with it.
 func (t *Table) noteLost(reason string) {
-	if !t.identity.Ready {
+	if t.leaving() {
 		reason += suffixAnnounced
 	}
 	t.effects.Notes = append(t.effects.Notes, Note{What: BackendLost, Reason: reason, Runs: len(t.runs)})
--- a/jobs/runtable/owners.go
+++ b/jobs/runtable/owners.go
@@ -83,6 +83,7 @@
 			m.Ended = append(m.Ended, e.report)
 		}
 	}
+	m.Ended = append(m.Ended, t.crashedOf(key)...)
 	t.send(l.owner, m)
 }
 
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -86,6 +86,9 @@
 	owners map[string]*owner // by connection
 	dirty  []string          // owners that are to get a status
 	recent map[wire.RunRef]recentEnd
+	// crashed holds the runs of kept jobs that were lost with crashed lives, until their
+	// owners have kept that.
+	crashed map[wire.RunRef]crashedRun
 
 	effects Effects
 }
@@ -116,6 +119,7 @@
 		leases:   make(map[leaseKey]*ownerLease),
 		owners:   make(map[string]*owner),
 		recent:   make(map[wire.RunRef]recentEnd),
+		crashed:  make(map[wire.RunRef]crashedRun),
 		renewals: make(map[uint64]bool),
 		outcomes: newOutcomes(),
 	}
@@ -138,6 +142,7 @@
 	t.stopUnansweredStarts(now)
 	t.stopStragglers(now)
 	t.forgetRecent(now)
+	t.forgetCrashed(now)
 }
 
 func (t *Table) send(owner string, m wire.Message) {
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -92,6 +92,7 @@
 		r.unanswered = true
 		t.repeatStart(now, r)
 	case StartDead:
+		t.neverSent(now, r)
 		t.lifeOver(now, reasonRefused)
 	case StartOld:
 		t.verify(r)
@@ -100,6 +101,16 @@
 	}
 }
 
+// neverSent ends a run to whose order no connection could be made, unless an earlier copy
+// of it may have arrived: the backend server was gone before it, so it did not crash under
+// the run.
+func (t *Table) neverSent(now time.Time, r *run) {
+	if !r.unanswered {
+		delete(t.runs, r.order.Ref)
+		t.endRun(now, r, wire.EndNotRun, reasonRefused)
+	}
+}
+
 // repeatStart repeats an order without an answer: the run number makes both one.
 // A silent backend server gets it when it answers again.
 func (t *Table) repeatStart(now time.Time, r *run) {
--- a/jobs/scheduler/besteffort.go
+++ b/jobs/scheduler/besteffort.go
@@ -24,6 +24,11 @@
 		return
 	}
 	j := newJob(s, now)
+	if c.recallCrashes(j) {
+		c.note(Note{What: Decision(jobPrefix + durable.Failed.String()), Job: s.ID, Reason: reasonCrashes})
+		c.reply(Reply{Call: call, ID: s.ID, State: durable.Failed})
+		return
+	}
 	if wait, allowed, ok := c.admit(now, j); !ok {
 		c.note(Note{What: JobRefused, Job: s.ID, Reason: "wait_too_long", Measure: WaitMS, Value: wait.Milliseconds(), Limit: allowed.Milliseconds()})
 		c.failUntil(call, s.ID, failure.Overloaded, wait-allowed)
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -95,6 +95,7 @@
 		Checkpoint: t.check,
 		EstimateMS: t.step.EstimateMS,
 		LimitMS:    c.limitOf(t).Milliseconds(),
+		Crashes:    uint32(len(t.crashes)),
 	})
 	c.note(Note{What: RunOrdered, Task: t.id.String(), Run: t.run, Worker: w.name, Measure: JobAgeMS, Value: t.job.age(now), Frequent: true})
 }
--- a/jobs/scheduler/effects.go
+++ b/jobs/scheduler/effects.go
@@ -13,7 +13,8 @@
 	Replies   []Reply
 	Commits   []Commit
 	Sends     []ToWorker
-	Reconnect []string // workers whose connection is to be closed and dialled again
+	Reconnect []string         // workers whose connection is to be closed and dialled again
+	Crashes   []wire.TaskCrash // other coordinators are to be told of
 	Notes     []Note
 	Confirm   bool // ask the store soon whether our partitions are still ours
 	Fenced    bool // a newer owner exists: look at once which partitions are ours
--- a/jobs/scheduler/ends.go
+++ b/jobs/scheduler/ends.go
@@ -44,11 +44,17 @@
 	c.apply(now, w, t, e)
 }
 
-// earlierEnd takes the end of a run before the present one. One that failed
-// counts, if an earlier owner heard of it and did not keep it; any other was
+// earlierEnd takes the end of a run before the present one. One that failed or crashed its
+// server counts, if an earlier owner heard of it and did not keep it; any other was
 // told too late to matter: the worker has let its lease lapse since.
 func (c *Core) earlierEnd(now time.Time, w *worker, t *task, e *wire.RunEnd) {
-	if wire.End(e.How) != wire.EndFailed || t.job.sub.BestEffort {
+	how := wire.End(e.How)
+	if how == wire.EndCrashed {
+		c.ackWithProgress(now, w, t, e)
+		c.runCrashed(now, t, e)
+		return
+	}
+	if how != wire.EndFailed || t.job.sub.BestEffort {
 		c.sendKept([]ack{{w.name, e.Ref}})
 		return
 	}
--- a/jobs/scheduler/job.go
+++ b/jobs/scheduler/job.go
@@ -136,6 +136,7 @@
 		if len(t.failures) > 0 {
 			p.Failures = append(p.Failures, durable.Failure{Task: t.number, Runs: t.failures})
 		}
+		p.Crashes = append(p.Crashes, t.crashes...)
 	}
 	return p
 }
@@ -155,6 +156,11 @@
 			j.tasks[f.Task].failures = f.Runs
 		}
 	}
+	for _, crash := range p.Crashes {
+		if int(crash.Task) < len(j.tasks) {
+			j.tasks[crash.Task].crashes.add(crash)
+		}
+	}
 }
 
 // done marks a task as done; it may be called once for each.
--- a/jobs/scheduler/placement.go
+++ b/jobs/scheduler/placement.go
@@ -41,6 +41,7 @@
 // measured, but where a figure stands (measured once).
 const (
 	worthAvoided      = 10.0 // taken away where a run of the task failed or straggled
+	worthSuspects     = 4.0  // taken away from a task with crashes where another such is: the next crash shall tell whose fault it is
 	worthRack         = 2.0  // near the task's data
 	worthPreferred    = 0.6  // a preferred worker; in an overload 83.1 % of the worth was earned, without it 82.7 %
 	worthDataCentre   = 0.02 // in our own data centre
@@ -56,6 +57,9 @@
 	if t.avoids(w) {
 		worth -= worthAvoided
 	}
+	if len(t.crashes) > 0 && w.hasSuspect() {
+		worth -= worthSuspects
+	}
 	if w.preference == Preferred {
 		worth += worthPreferred
 	}
--- a/jobs/scheduler/retries.go
+++ b/jobs/scheduler/retries.go
@@ -21,6 +21,10 @@
 		c.taskDone(now, t)
 	case wire.EndFailed:
 		c.runFailed(now, w, t, e)
+	case wire.EndCrashed:
+		if !c.runCrashed(now, t, e) {
+			c.enqueue(now, t)
+		}
 	case wire.EndStraggled:
 		t.straggles++
 		t.avoid = append(t.avoid, w.name)
@@ -28,7 +32,7 @@
 	case wire.EndNotRun:
 		w.status.Free = durable.Resources{} // until it says what it has
 		c.enqueue(now, t)
-	default: // stopped, lapsed or lost: no fault of the task, and not counted
+	default: // stopped, lapsed, or gone with a server that had said so: no fault of the task
 		c.enqueue(now, t)
 	}
 	c.keepEnd(now, w, t.job, e, how)
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -53,10 +53,11 @@
 	// Jobs.
 	partitions map[uint32]*partition
 	bestEffort map[durable.JobID]*job // jobs that are not kept
-	active     int                    // jobs that are not final
-	callers    map[Call]waitingCall   // who wait for the store
-	watched    map[*job]struct{}      // jobs whose end is waited for by callers
-	questions  []question             // about jobs that are not here
+	crashed    map[durable.JobID]*crashMemory
+	active     int                  // jobs that are not final
+	callers    map[Call]waitingCall // who wait for the store
+	watched    map[*job]struct{}    // jobs whose end is waited for by callers
+	questions  []question           // about jobs that are not here
 	// confirmedAt is when the newest join was sent that the store has answered.
 	confirmedAt time.Time
 	ready       map[string]*readyQueue // tasks that want a worker, by service
@@ -79,6 +80,7 @@
 		random:     rand.New(rand.NewPCG(seed, 1)),
 		partitions: make(map[uint32]*partition),
 		bestEffort: make(map[durable.JobID]*job),
+		crashed:    make(map[durable.JobID]*crashMemory),
 		workers:    make(map[string]*worker),
 		ready:      make(map[string]*readyQueue),
 		callers:    make(map[Call]waitingCall),
@@ -109,6 +111,7 @@
 	c.tickCallers(now)
 	c.giveUpUseless(now, serving)
 	c.tickWatchers(now)
+	c.forgetCrashes(now)
 }
 
 func (c *Core) send(worker string, m wire.Message) {
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -27,6 +27,7 @@
 	starts    uint32    // runs ordered under this epoch
 	run       uint32    // the newest run
 	failures  []uint32  // runs that failed
+	crashes   crashes   // runs that were lost with a crashed backend server
 	straggles int       // runs that were stopped as stragglers
 	avoid     []string  // workers where a run failed or straggled
 	worker    *worker   // while assigned
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -7,7 +7,7 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds KeepAlive KeepAliveAck
+//msgp:tuple PartitionEpoch OwnerHeartbeat BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds TaskCrash CrashNews KeepAlive KeepAliveAck
 //msgp:limit arrays:65536
 
 // PartitionEpoch says that the sender owns a partition, with the fencing epoch
@@ -78,6 +78,8 @@
 	Checkpoint string
 	EstimateMS int64 // how long the run is thought to take; 0 if that is not known
 	LimitMS    int64 // a run that takes longer is a straggler, and stopped; 0 sets no limit
+	// Crashes is how many runs of the task were lost with a backend server that crashed.
+	Crashes uint32
 }
 
 // End says how a run ended.
@@ -89,9 +91,10 @@
 	EndFailed    End = 2 // by its own fault or the backend server's
 	EndStopped   End = 3 // on our order
 	EndLapsed    End = 4 // its lease was not renewed
-	EndLost      End = 5 // the backend server's life is over
+	EndLost      End = 5 // the backend server's life is over, as it had said before
 	EndNotRun    End = 6 // it never began and never will
 	EndStraggled End = 7 // stopped by the worker, since it was over its limit
+	EndCrashed   End = 8 // the backend server's life ended under it without a word
 )
 
 // String returns the end's name.
@@ -109,6 +112,8 @@
 		return "lost"
 	case EndStraggled:
 		return "straggled"
+	case EndCrashed:
+		return "crashed"
 	}
 	return "not_run"
 }
@@ -119,7 +124,13 @@
 	How        uint8 // an End
 	Checkpoint string
 	RunMS      int64  // how long the worker saw it running
-	Reason     string // of EndNotRun
+	Reason     string // of EndNotRun, EndLost and EndCrashed
+	Instance   string // of EndCrashed: the life of the backend server
+	// Begun says of EndCrashed that the run was at work; without it, its start had no
+	// answer yet.
+	Begun bool
+	// Alone says of EndCrashed that no other run there was of a task with Crashes.
+	Alone bool
 }
 
 // StartRuns asks a worker to run tasks as soon as they fit.
@@ -222,6 +233,20 @@
 	Runs []RunNeed
 }
 
+// TaskCrash is a backend server that crashed under a run of a best-effort job's task.
+type TaskCrash struct {
+	Task     durable.TaskID
+	Instance string // the life of the backend server
+	Begun    bool   // the run was at work; else its start had no answer yet
+	GivenUp  bool   // the job was given up for it
+}
+
+// CrashNews tells other coordinators of crashes under best-effort jobs: a caller without an
+// answer may send the job again to any of them.
+type CrashNews struct {
+	Crashes []TaskCrash
+}
+
 // KeepAlive asks the peer to say something. Package peer sends and answers it; no
 // handler sees it.
 type KeepAlive struct{}
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -121,6 +121,69 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *CrashNews) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0001 := range z.Crashes {
+		o, err = z.Crashes[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashNews) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	if zb0002 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Crashes) >= int(zb0002) {
+		z.Crashes = (z.Crashes)[:zb0002]
+	} else {
+		z.Crashes = make([]TaskCrash, zb0002)
+	}
+	for za0001 := range z.Crashes {
+		bts, err = z.Crashes[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CrashNews) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Crashes {
+		s += z.Crashes[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z End) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -930,8 +993,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 8
+	o = append(o, 0x98)
 	// array header, size 2
 	o = append(o, 0x92)
 	o, err = z.Ref.Task.MarshalMsg(o)
@@ -944,6 +1007,9 @@
 	o = msgp.AppendString(o, z.Checkpoint)
 	o = msgp.AppendInt64(o, z.RunMS)
 	o = msgp.AppendString(o, z.Reason)
+	o = msgp.AppendString(o, z.Instance)
+	o = msgp.AppendBool(o, z.Begun)
+	o = msgp.AppendBool(o, z.Alone)
 	return
 }
 
@@ -955,8 +1021,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -999,13 +1065,28 @@
 		err = msgp.WrapError(err, "Reason")
 		return
 	}
+	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Begun, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Begun")
+		return
+	}
+	z.Alone, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Alone")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunEnd) Msgsize() (s int) {
-	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Reason)
+	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Reason) + msgp.StringPrefixSize + len(z.Instance) + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
@@ -1206,8 +1287,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunOrder) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	// array header, size 2
 	o = append(o, 0x92)
 	o, err = z.Ref.Task.MarshalMsg(o)
@@ -1227,6 +1308,7 @@
 	o = msgp.AppendString(o, z.Checkpoint)
 	o = msgp.AppendInt64(o, z.EstimateMS)
 	o = msgp.AppendInt64(o, z.LimitMS)
+	o = msgp.AppendUint32(o, z.Crashes)
 	return
 }
 
@@ -1238,8 +1320,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1297,13 +1379,18 @@
 		err = msgp.WrapError(err, "LimitMS")
 		return
 	}
+	z.Crashes, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunOrder) Msgsize() (s int) {
-	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Spec) + z.Need.Msgsize() + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.Int64Size + msgp.Int64Size
+	s = 1 + 1 + z.Ref.Task.Msgsize() + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Spec) + z.Need.Msgsize() + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.Int64Size + msgp.Int64Size + msgp.Uint32Size
 	return
 }
 
@@ -1584,6 +1671,64 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *TaskCrash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o, err = z.Task.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Task")
+		return
+	}
+	o = msgp.AppendString(o, z.Instance)
+	o = msgp.AppendBool(o, z.Begun)
+	o = msgp.AppendBool(o, z.GivenUp)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskCrash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	bts, err = z.Task.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Task")
+		return
+	}
+	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Begun, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Begun")
+		return
+	}
+	z.GivenUp, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "GivenUp")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TaskCrash) Msgsize() (s int) {
+	s = 1 + z.Task.Msgsize() + msgp.StringPrefixSize + len(z.Instance) + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -31,6 +31,7 @@
 	KindRunNeeds       Kind = 23
 	KindKeepAlive      Kind = 24
 	KindKeepAliveAck   Kind = 25
+	KindCrashNews      Kind = 26
 )
 
 // kind is what a frame needs to know of a kind of message.
@@ -66,6 +67,7 @@
 	KindRunNeeds:       {"run_needs", func() Message { return &RunNeeds{} }},
 	KindKeepAlive:      {"keep_alive", func() Message { return &KeepAlive{} }},
 	KindKeepAliveAck:   {"keep_alive_ack", func() Message { return &KeepAliveAck{} }},
+	KindCrashNews:      {"crash_news", func() Message { return &CrashNews{} }},
 }
 
 // String returns the kind's name, as used in metric labels.
@@ -179,3 +181,6 @@
 
 // WireKind returns KindKeepAliveAck.
 func (*KeepAliveAck) WireKind() Kind { return KindKeepAliveAck }
+
+// WireKind returns KindCrashNews.
+func (*CrashNews) WireKind() Kind { return KindCrashNews }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -14,7 +14,7 @@
 
 // Version is the version of this protocol. Peers of another version are
 // refused at Hello.
-const Version = 4
+const Version = 5
 
 // Role says what a process is.
 type Role uint8
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -48,6 +48,7 @@
 		&wire.KeepAlive{},
 		&wire.KeepAliveAck{},
 		&wire.RunsQuery{Runs: []wire.RunRef{someRun}},
+		&wire.CrashNews{Crashes: []wire.TaskCrash{{Task: someRun.Task, Instance: "i", Begun: true, GivenUp: true}}},
 		&wire.RunNeeds{Runs: []wire.RunNeed{{Ref: someRun, Need: durable.Resources{CPU: 1500, Memory: 64}}}},
 	}
 }
