promises, scheduler: suspended boxes start tasks twice

Cause: two, of which the first was found on the way. The answer to a question about runs, asked over a new connection, is held against the task's present run, which may be ordered later. And a suspended box does not count its time: leases look good that are over. Change: cases with suspended boxes, whose processes have a clock that stands still meanwhile, and a spec of the first cause.

--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -64,9 +64,9 @@
 	c := &conn{from: n, to: worker, lifeOf: [2]int{n.life, worker.life}, name: fmt.Sprintf("%s#%d", n.incarnation(), n.conns0)}
 	n.conns[worker.name] = c
 	worker.conns[c.name] = c
-	worker.table.OwnerUp(n.w.now, c.name, n.incarnation())
+	worker.table.OwnerUp(n.now(), c.name, n.incarnation())
 	worker.perform()
-	n.core.WorkerUp(n.w.now, worker.name, "dc")
+	n.core.WorkerUp(n.now(), worker.name, "dc")
 }
 
 func (n *coordinatorNode) lost(c *conn) {
@@ -75,14 +75,14 @@
 		return
 	}
 	delete(n.conns, c.to.name)
-	n.core.WorkerDown(n.w.now, c.to.name)
+	n.core.WorkerDown(n.now(), c.to.name)
 	if c.to.alive && c.to.life == c.lifeOf[1] {
 		c.to.post(c.lifeOf[1], func() { c.to.drop(c) })
 	}
 }
 
 func (n *coordinatorNode) join() {
-	sent := n.w.now
+	sent := n.now()
 	var a store.Assignment
 	life := n.life
 	n.w.storeCall(n.name, 900*time.Millisecond, func() error {
@@ -99,7 +99,7 @@
 }
 
 func (n *coordinatorNode) joined(sent time.Time, a store.Assignment) {
-	change := n.owned.Joined(sent, n.w.now, a)
+	change := n.owned.Joined(sent, n.now(), a)
 	for _, p := range change.Released {
 		n.letGo(p)
 	}
@@ -107,13 +107,13 @@
 		n.load(p, change.Epoch)
 	}
 	n.lease()
-	n.core.Confirmed(n.w.now, sent)
+	n.core.Confirmed(n.now(), sent)
 	n.perform()
 }
 
 func (n *coordinatorNode) lease() {
 	for _, p := range ordered.Keys(n.epochs) {
-		n.core.Suspend(n.w.now, p, !n.owned.Valid(n.w.now))
+		n.core.Suspend(n.now(), p, !n.owned.Valid(n.now()))
 	}
 }
 
@@ -121,7 +121,7 @@
 	delete(n.loading, p)
 	delete(n.epochs, p)
 	delete(n.append, p)
-	n.core.Release(n.w.now, p, "given up")
+	n.core.Release(n.now(), p, "given up")
 }
 
 func (n *coordinatorNode) load(p uint32, epoch uint64) {
@@ -183,8 +183,8 @@
 	}
 	n.epochs[p] = epoch
 	n.append[p] = store.NewAppending()
-	n.core.Acquire(n.w.now, p, epoch, stored)
-	n.core.Suspend(n.w.now, p, !n.owned.Valid(n.w.now))
+	n.core.Acquire(n.now(), p, epoch, stored)
+	n.core.Suspend(n.now(), p, !n.owned.Valid(n.now()))
 	n.w.counts["takeovers"]++
 	n.perform()
 }
@@ -227,11 +227,11 @@
 		})
 		return
 	case store.Done:
-		n.core.Committed(n.w.now, c.Partition, c.Epoch, scheduler.CommitOK)
+		n.core.Committed(n.now(), c.Partition, c.Epoch, scheduler.CommitOK)
 	case store.Refused:
-		n.core.Committed(n.w.now, c.Partition, c.Epoch, scheduler.CommitRefused)
+		n.core.Committed(n.now(), c.Partition, c.Epoch, scheduler.CommitRefused)
 	default:
-		n.core.Committed(n.w.now, c.Partition, c.Epoch, scheduler.CommitFenced)
+		n.core.Committed(n.now(), c.Partition, c.Epoch, scheduler.CommitFenced)
 		n.owned.Lost(c.Partition)
 		n.letGo(c.Partition)
 	}
@@ -271,11 +271,11 @@
 	n.calls[c.number] = c
 	switch c.kind {
 	case wire.CallSubmit:
-		n.core.Submit(n.w.now, c.number, c.submission, 0)
+		n.core.Submit(n.now(), c.number, c.submission, 0)
 	case wire.CallState:
-		n.core.State(n.w.now, c.number, c.id, 0)
+		n.core.State(n.now(), c.number, c.id, 0)
 	case wire.CallCancel:
-		n.core.Cancel(n.w.now, c.number, c.id)
+		n.core.Cancel(n.now(), c.number, c.id)
 	}
 	n.perform()
 }
@@ -288,7 +288,7 @@
 			c := n.calls[number]
 			if c.id == id && c.kind == wire.CallSubmit {
 				delete(n.calls, number)
-				n.core.Abandon(n.w.now, number, id)
+				n.core.Abandon(n.now(), number, id)
 			}
 		}
 		n.perform()
@@ -321,7 +321,7 @@
 	n.dialing = make(map[string]bool)
 	n.calls = make(map[scheduler.Call]*nodeCall)
 	for _, worker := range n.w.workers {
-		n.core.WorkerKnown(n.w.now, worker.name)
+		n.core.WorkerKnown(n.now(), worker.name)
 	}
 	n.later(n.w.between(0, 50*time.Millisecond), n.join)
 	n.later(tickEvery, n.tick)
@@ -338,7 +338,7 @@
 func (n *coordinatorNode) tick() {
 	n.dial()
 	n.lease()
-	n.core.Tick(n.w.now)
+	n.core.Tick(n.now())
 	n.perform()
 	n.later(tickEvery, n.tick)
 }
@@ -346,17 +346,17 @@
 func (n *coordinatorNode) message(c *conn, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.WorkerStatus:
-		n.core.Status(n.w.now, c.to.name, m)
+		n.core.Status(n.now(), c.to.name, m)
 	case *wire.RunEnds:
-		n.core.Ends(n.w.now, c.to.name, m)
+		n.core.Ends(n.now(), c.to.name, m)
 	case *wire.PartitionRuns:
-		n.core.Runs(n.w.now, c.to.name, m)
+		n.core.Runs(n.now(), c.to.name, m)
 	}
 	n.perform()
 }
 
 func (n *coordinatorNode) perform() {
-	e := n.core.Take(n.w.now)
+	e := n.core.Take(n.now())
 	for _, note := range e.Notes {
 		n.w.trace(n.incarnation(), note.Task+string(note.Job), "%s run %d %s %s %d", note.What, note.Run, note.Worker, note.Reason, note.Value)
 	}
@@ -391,6 +391,6 @@
 			continue
 		}
 		life := o.life
-		n.w.after(time.Millisecond, func() { o.post(life, func() { o.core.HearCrashes(n.w.now, m) }) })
+		n.w.after(time.Millisecond, func() { o.post(life, func() { o.core.HearCrashes(n.now(), m) }) })
 	}
 }
--- a/jobs/promises/nodes_test.go
+++ b/jobs/promises/nodes_test.go
@@ -24,8 +24,13 @@
 	alive  bool
 	paused bool
 	inbox  []func()
+	asleep time.Duration // for which the box has been suspended so far
 }
 
+// now returns the time by which the process decides. Its steady clock stands still while
+// the box is suspended.
+func (p *process) now() time.Time { return p.w.now.Add(-p.asleep) }
+
 // post has the process do something in this life.
 func (p *process) post(life int, do func()) {
 	if !p.alive || life != p.life {
@@ -45,6 +50,21 @@
 
 func (p *process) pause() { p.paused = true }
 
+// suspendFor suspends the box of the process. Its backend server runs on.
+func (p *process) suspendFor(d time.Duration) {
+	if !p.alive || p.paused {
+		return
+	}
+	p.pause()
+	began, life := p.w.now, p.life
+	p.w.after(d, func() {
+		if p.life == life && p.paused {
+			p.asleep += p.w.now.Sub(began)
+			p.wake()
+		}
+	})
+}
+
 func (p *process) wake() {
 	p.paused = false
 	inbox := p.inbox
--- /dev/null
+++ b/jobs/promises/suspended_test.go
@@ -0,0 +1,62 @@
+package promises
+
+import (
+	"testing"
+	"time"
+)
+
+// What the cases with suspended boxes have beside the others.
+const (
+	suspensions   = 6
+	suspendedMost = 6 * time.Second
+)
+
+// The seeds that failed once, each with its cause.
+var suspendedRegressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{20261250, "the answer to a question about runs was held against a later run"},
+}
+
+// TestSuspended plays cases in which boxes are suspended for seconds, alone and among all
+// other faults. The steady clock of a process does not count that time: a lease that it
+// measures by it looks good long after it is over.
+func TestSuspended(t *testing.T) {
+	cases := number("LICHENFALL_CASES", defaultCases)
+	seed := number("LICHENFALL_SEED", defaultSeed)
+	for _, r := range suspendedRegressions {
+		if w := playSuspended(r.seed, allFaults); w.violation != "" {
+			t.Errorf("seed %d: %s (then: %s)", r.seed, w.violation, r.cause)
+		}
+	}
+	for _, kinds := range []int{0, allFaults} {
+		runs := 0
+		for i := range cases {
+			w := playSuspended(seed+i, kinds)
+			if w.violation != "" {
+				t.Fatalf("seed %d with %d kinds of faults: %s", seed+i, kinds, w.violation)
+			}
+			runs += w.counts["runs"]
+		}
+		t.Logf("%d kinds of faults: %d cases, %d runs", kinds, cases, runs)
+	}
+}
+
+// playSuspended plays one case with suspended boxes of coordinators and workers.
+func playSuspended(seed uint64, kinds int) *world {
+	w := newWorld(seed)
+	for range suspensions {
+		w.after(warmUp+w.between(0, troubles), func() {
+			n := w.random.IntN(coordinatorCount + workerCount)
+			length := w.between(200*time.Millisecond, suspendedMost)
+			if n < coordinatorCount {
+				w.coordinators[n].suspendFor(length)
+				return
+			}
+			w.workers[n-coordinatorCount].suspendFor(length)
+		})
+	}
+	w.play(kinds)
+	return w
+}
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -29,7 +29,7 @@
 		report := n.backend.report(n.name)
 		take := func() {
 			if n.alive {
-				n.post(n.life, func() { n.table.Reported(n.w.now, report); n.perform() })
+				n.post(n.life, func() { n.table.Reported(n.now(), report); n.perform() })
 			}
 		}
 		if n.w.chance(n.backend.lateReports) {
@@ -45,14 +45,14 @@
 // ask asks the backend server whether it is the life that the call names.
 func (n *workerNode) ask(call runtable.RenewCall) {
 	n.renew(call, func(a runtable.RenewAnswer) {
-		n.table.Asked(n.w.now, call, a.Result)
+		n.table.Asked(n.now(), call, a.Result)
 		n.perform()
 	})
 }
 
 // holdAgain makes one hold after another.
 func (n *workerNode) holdAgain() {
-	call, ok := n.table.NextRenewal(n.w.now)
+	call, ok := n.table.NextRenewal(n.now())
 	if !ok {
 		n.perform()
 		n.later(50*time.Millisecond, n.holdAgain)
@@ -62,7 +62,7 @@
 	answered := false
 	n.renew(call, func(a runtable.RenewAnswer) {
 		answered = true
-		n.table.RenewAnswered(n.w.now, call, a)
+		n.table.RenewAnswered(n.now(), call, a)
 		n.perform()
 		next()
 	})
@@ -143,7 +143,7 @@
 			return
 		}
 		done = true
-		n.table.StartAnswered(n.w.now, call, r)
+		n.table.StartAnswered(n.now(), call, r)
 		n.perform()
 	}
 	n.order(func() runtable.RenewAnswer {
@@ -162,7 +162,7 @@
 			return
 		}
 		done = true
-		n.table.StopAnswered(n.w.now, call, ok)
+		n.table.StopAnswered(n.now(), call, ok)
 		n.perform()
 	}
 	answered := false
@@ -179,7 +179,7 @@
 func (n *workerNode) drop(c *conn) {
 	if n.conns[c.name] == c {
 		delete(n.conns, c.name)
-		n.table.OwnerDown(n.w.now, c.name)
+		n.table.OwnerDown(n.now(), c.name)
 		n.perform()
 	}
 }
@@ -188,7 +188,7 @@
 	n.alive, n.paused = true, false
 	n.life++
 	n.inbox = nil
-	n.table = runtable.New(n.w.runs.Core(), n.w.now)
+	n.table = runtable.New(n.w.runs.Core(), n.now())
 	n.conns = make(map[string]*conn)
 	n.later(n.w.between(0, 100*time.Millisecond), n.hear)
 	n.later(tickEvery, n.tick)
@@ -203,13 +203,13 @@
 }
 
 func (n *workerNode) tick() {
-	n.table.Tick(n.w.now)
+	n.table.Tick(n.now())
 	n.perform()
 	n.later(tickEvery, n.tick)
 }
 
 func (n *workerNode) perform() {
-	e := n.table.Take(n.w.now)
+	e := n.table.Take(n.now())
 	for _, note := range e.Notes {
 		n.w.trace(n.incarnation(), note.Ref.Task.String(), "%s run %d %s", note.What, note.Ref.Run, note.Reason)
 	}
@@ -232,20 +232,20 @@
 func (n *workerNode) message(c *conn, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.OwnerHeartbeat:
-		n.table.Heartbeat(n.w.now, c.name, m)
+		n.table.Heartbeat(n.now(), c.name, m)
 	case *wire.StartRuns:
-		n.table.Start(n.w.now, c.name, m)
+		n.table.Start(n.now(), c.name, m)
 	case *wire.StopRuns:
-		n.table.Stop(n.w.now, c.name, m)
+		n.table.Stop(n.now(), c.name, m)
 	case *wire.EndsKept:
 		for _, r := range m.Runs {
 			n.w.trace(n.incarnation(), r.Task.String(), "kept run %d by %s", r.Run, c.name)
 		}
-		n.table.Kept(n.w.now, c.name, m)
+		n.table.Kept(n.now(), c.name, m)
 	case *wire.RunNeeds:
-		n.table.Needs(n.w.now, m)
+		n.table.Needs(n.now(), m)
 	case *wire.RunsQuery:
-		n.table.QueryRuns(n.w.now, c.name, m)
+		n.table.QueryRuns(n.now(), c.name, m)
 	}
 	n.perform()
 }
