scheduler: hold an answer about runs against the runs that were asked about

Cause: queryAnswered took every task that was asked about and is still at the worker for lost unless the answer names its present run; a run that was ordered after the question cannot be in it. Class: an answer held against a later state. Looked for elsewhere: reports of partitions leave out what was ordered after them (StartSeq); found and needs name runs. Change: the question keeps the runs that it names.

--- a/jobs/promises/suspended_test.go
+++ b/jobs/promises/suspended_test.go
@@ -17,6 +17,7 @@
 	cause string
 }{
 	{20261250, "the answer to a question about runs was held against a later run"},
+	{20261351, "a superseded owner answered from memory: by a clock that had stood still, a join was young"},
 }
 
 // TestSuspended plays cases in which boxes are suspended for seconds, alone and among all
--- a/jobs/scheduler/reports.go
+++ b/jobs/scheduler/reports.go
@@ -111,7 +111,7 @@
 	w.queried = nil
 	for _, t := range w.tasks() {
 		if t.job.sub.BestEffort {
-			w.queried = append(w.queried, t)
+			w.queried = append(w.queried, queriedRun{t, t.ref()})
 			m.Runs = append(m.Runs, t.ref())
 		}
 	}
@@ -133,9 +133,9 @@
 	}
 	queried := w.queried
 	w.queried = nil
-	for _, t := range queried {
-		if t.worker == w && !known[t.ref()] {
-			c.lost(now, t, RunAbsent)
+	for _, q := range queried {
+		if q.task.worker == w && q.task.ref() == q.ref && !known[q.ref] {
+			c.lost(now, q.task, RunAbsent)
 		}
 	}
 }
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -24,9 +24,16 @@
 	confirmed  bool      // a heartbeat over this connection was wire.OwnerHeartbeat.Confirmed
 	startSeq   uint64    // of the newest StartRuns
 	assigned   map[*task]struct{}
-	queried    []*task   // asked about since the connection is new
-	outlier    bool      // its runs are slow or fail, by its status
-	probedAt   time.Time // when it last got a task as an outlier
+	queried    []queriedRun // asked about since the connection is new
+	outlier    bool         // its runs are slow or fail, by its status
+	probedAt   time.Time    // when it last got a task as an outlier
+}
+
+// queriedRun is a run that a worker was asked about. By the time of the answer its task may
+// have a later run there, of which the answer knows nothing.
+type queriedRun struct {
+	task *task
+	ref  wire.RunRef
 }
 
 // tasks returns the tasks that are with the worker, in their order.
