clock, coordinator, worker: measure leases by a clock that counts suspensions

Cause: the monotonic reading of package time is CLOCK_MONOTONIC, which stands still while the box is suspended. A lease measured by it looks good for as long again as the box was away: a superseded owner answered from memory, a worker obeyed orders of an owner that had written it off. Class: a lease by a clock that may stand still. Ruled out: the time of day (it steps); asking the operating system at each event (two system calls each). The loops of jobs take their time from it and tell of a suspension before anything else; the worker then grants the backend server's lease as much longer, in case that was suspended too. The daemons of jobs may not read the clock of package time.

--- a/jobs/coordinator/calls.go
+++ b/jobs/coordinator/calls.go
@@ -44,7 +44,7 @@
 
 func (c *Coordinator) ask(ctx context.Context, cl *call) scheduler.Reply {
 	cl.answer = make(chan scheduler.Reply, 1)
-	cl.since = time.Now()
+	cl.since = c.clock.Now()
 	if end, ok := ctx.Deadline(); ok {
 		cl.budget = time.Until(end)
 	}
--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/jobs/store"
+	"github.com/lichenfall/lichenfall/lib/clock"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/lib/loop"
 	"github.com/lichenfall/lichenfall/lib/peer"
@@ -38,6 +39,7 @@
 	store   store.Store
 	metrics *metrics.Jobs
 	loop    *loop.Loop[event]
+	clock   *clock.Clock
 
 	member string // name in the group of owners, unique to this process
 
@@ -105,11 +107,15 @@
 		Advertise:    cfg.Peers.Advertise,
 		ReadLimit:    readLimit,
 	}
+	steady, err := clock.System()
+	if err != nil {
+		return nil, err
+	}
 	peers, err := peer.Listen(cfg.Peers.Listen, opts)
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
-	c := newCoordinator(cfg, s, m, log)
+	c := newCoordinator(cfg, s, m, log, steady)
 	c.peers, c.peerOpts = peers, opts
 	c.halt, c.end = context.WithCancel(context.Background())
 	c.run()
@@ -117,9 +123,10 @@
 	return c, nil
 }
 
-func newCoordinator(cfg *config.Coordinator, s store.Store, m *metrics.Jobs, log *logging.Log) *Coordinator {
+func newCoordinator(cfg *config.Coordinator, s store.Store, m *metrics.Jobs, log *logging.Log, steady *clock.Clock) *Coordinator {
 	return &Coordinator{
 		cfg:         cfg,
+		clock:       steady,
 		log:         log,
 		store:       s,
 		metrics:     m,
@@ -145,12 +152,18 @@
 // run starts the goroutines.
 func (c *Coordinator) run() {
 	c.peers.Serve(c.hello, inbound{c})
-	go c.loop.Run(c.halt.Done(), tickEvery, loop.Steps[event]{Handle: c.handle, Tick: c.tick, Perform: c.perform})
+	go c.loop.Run(c.halt.Done(), tickEvery, loop.Steps[event]{Clock: c.clock, Resumed: c.resumed, Handle: c.handle, Tick: c.tick, Perform: c.perform})
 	go c.keepJoining()
 	go c.followMembers()
 	go c.store.Configurations(c.halt, c.configure)
 }
 
+// resumed takes the end of a suspension of the box. All leases count that time by our clock,
+// so nothing else is to be done.
+func (c *Coordinator) resumed(_ time.Time, suspended time.Duration) {
+	c.log.Warn("box_resumed", zap.Int64("suspended_ms", suspended.Milliseconds()))
+}
+
 func (c *Coordinator) hello() *wire.Hello {
 	return peer.Introduction(wire.RoleCoordinator, c.cfg.Box.Name, c.cfg.Box.DataCentre, c.member, c.peers.Advertised())
 }
--- a/jobs/coordinator/group.go
+++ b/jobs/coordinator/group.go
@@ -16,7 +16,7 @@
 		if c.stopping.Load() && c.leaveGroup() {
 			return
 		}
-		sent := time.Now()
+		sent := c.clock.Now()
 		ctx, cancel := context.WithTimeout(c.halt, c.cfg.Ownership.CallLimit.D())
 		a, err := c.store.Join(ctx, c.member, generation, c.cfg.Ownership.TTL.D())
 		cancel()
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -312,6 +312,7 @@
 	n.alive, n.paused = true, false
 	n.life++
 	n.inbox = nil
+	n.newClock()
 	n.core = scheduler.New(n.w.cfg.Core("dc"), n.w.random.Uint64())
 	n.owned = ownership.New(1200 * time.Millisecond)
 	n.epochs = make(map[uint32]uint64)
--- a/jobs/promises/nodes_test.go
+++ b/jobs/promises/nodes_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/lichenfall/lichenfall/jobs/runtable"
 	"github.com/lichenfall/lichenfall/jobs/store"
+	"github.com/lichenfall/lichenfall/lib/clock"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -25,11 +26,44 @@
 	paused bool
 	inbox  []func()
 	asleep time.Duration // for which the box has been suspended so far
+	clock  *clock.Clock  // of this life
+	// counted is the suspended time that resumed, if there is such, has been told of.
+	counted time.Duration
+	resumed func(now time.Time, suspended time.Duration)
 }
 
-// now returns the time by which the process decides. Its steady clock stands still while
-// the box is suspended.
-func (p *process) now() time.Time { return p.w.now.Add(-p.asleep) }
+// newClock gives the process a clock for a new life.
+func (p *process) newClock() {
+	c, err := clock.New(p.w.now, sleepyClocks{p})
+	if err != nil {
+		p.w.broken("%s has no clock: %v", p.name, err)
+	}
+	p.clock, p.counted = c, 0
+}
+
+// sleepyClocks are the clocks of a box: the steady one stands still while the box is
+// suspended.
+type sleepyClocks struct{ p *process }
+
+func (s sleepyClocks) Read() (steady, timeOfDay time.Duration) {
+	timeOfDay = s.p.w.now.Sub(time.Unix(0, 0))
+	return timeOfDay - s.p.asleep, timeOfDay
+}
+
+func (s sleepyClocks) Suspended() (time.Duration, error) { return s.p.asleep, nil }
+
+// now returns the time by which the process decides.
+func (p *process) now() time.Time {
+	now := p.clock.Now()
+	if total := p.clock.Suspended(); total > p.counted {
+		suspended := total - p.counted
+		p.counted = total
+		if p.resumed != nil {
+			p.resumed(now, suspended)
+		}
+	}
+	return now
+}
 
 // post has the process do something in this life.
 func (p *process) post(life int, do func()) {
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -188,6 +188,8 @@
 	n.alive, n.paused = true, false
 	n.life++
 	n.inbox = nil
+	n.newClock()
+	n.resumed = func(now time.Time, suspended time.Duration) { n.table.Resumed(now, suspended) }
 	n.table = runtable.New(n.w.runs.Core(), n.now())
 	n.conns = make(map[string]*conn)
 	n.later(n.w.between(0, 100*time.Millisecond), n.hear)
--- a/jobs/runtable/lapse.go
+++ b/jobs/runtable/lapse.go
@@ -129,3 +129,12 @@
 	t.reportAll()
 	t.touchOwners()
 }
+
+// Resumed tells the table that the box was suspended for so long until now, which the time
+// counts. The backend server's clock may not have counted it: a lease that had not ended
+// before may last as much longer.
+func (t *Table) Resumed(now time.Time, suspended time.Duration) {
+	if t.leaseEnds.After(now.Add(-suspended)) {
+		t.leaseEnds = t.leaseEnds.Add(suspended)
+	}
+}
--- a/jobs/worker/worker.go
+++ b/jobs/worker/worker.go
@@ -18,6 +18,7 @@
 	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/jobs/runtable"
 	"github.com/lichenfall/lichenfall/jobs/store"
+	"github.com/lichenfall/lichenfall/lib/clock"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/lib/loop"
 	"github.com/lichenfall/lichenfall/lib/peer"
@@ -45,6 +46,7 @@
 	store   store.Store
 	metrics *metrics.Jobs
 	loop    *loop.Loop[event]
+	clock   *clock.Clock
 	name    string // unique to this process
 
 	// Owned by the control goroutine.
@@ -80,19 +82,24 @@
 		Advertise:  cfg.Peers.Advertise,
 		ReadLimit:  readLimit,
 	}
+	steady, err := clock.System()
+	if err != nil {
+		return nil, err
+	}
 	peers, err := peer.Listen(cfg.Peers.Listen, opts)
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
 	w := &Worker{
 		cfg:      cfg,
+		clock:    steady,
 		log:      log,
 		backend:  b,
 		store:    s,
 		metrics:  m,
 		loop:     loop.New[event](backlog),
 		name:     cfg.Box.Name + "/" + uuid.NewString(),
-		table:    runtable.New(cfg.Runs.Core(), time.Now()),
+		table:    runtable.New(cfg.Runs.Core(), steady.Now()),
 		owners:   make(map[string]*peer.Conn),
 		peers:    peers,
 		renewNow: make(chan struct{}, 1),
@@ -106,12 +113,18 @@
 
 // run starts the goroutines.
 func (w *Worker) run() {
-	go w.loop.Run(w.halt.Done(), tickEvery, loop.Steps[event]{Handle: w.handle, Tick: w.table.Tick, Perform: w.perform})
+	go w.loop.Run(w.halt.Done(), tickEvery, loop.Steps[event]{Clock: w.clock, Resumed: w.resumed, Handle: w.handle, Tick: w.table.Tick, Perform: w.perform})
 	w.peers.Serve(w.hello, handler{w})
 	go w.keepRenewing()
 	go w.keepRegistered()
 }
 
+// resumed takes the end of a suspension of the box.
+func (w *Worker) resumed(now time.Time, suspended time.Duration) {
+	w.log.Warn("box_resumed", zap.Int64("suspended_ms", suspended.Milliseconds()))
+	w.table.Resumed(now, suspended)
+}
+
 func (w *Worker) hello() *wire.Hello {
 	return peer.Introduction(wire.RoleWorker, w.cfg.Box.Name, w.cfg.Box.DataCentre, w.name, w.peers.Advertised())
 }
--- a/layout_test.go
+++ b/layout_test.go
@@ -178,3 +178,28 @@
 		}
 	}
 }
+
+// readsOwnClock are the files of the daemons of jobs that may read the clock of package
+// time: what they measure ends in metrics or in a pause, not in a lease.
+var readsOwnClock = []string{
+	"jobs/coordinator/coordinator.go", // a seed
+	"jobs/coordinator/writer.go",      // how long a commit took
+	"jobs/worker/renew.go",            // whether a pause is due
+}
+
+// TestLeasesCountSuspensions sees that the daemons of jobs take the time from lib/clock,
+// since that of package time stands still while the box is suspended.
+func TestLeasesCountSuspensions(t *testing.T) {
+	walk(t, func(file, pkg string, _ []string) {
+		if pkg != "jobs/coordinator" && pkg != "jobs/worker" || slices.Contains(readsOwnClock, file) {
+			return
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(text), "time.Now()") {
+			t.Errorf("%s: reads a clock that does not count suspensions", file)
+		}
+	})
+}
--- a/lib/loop/loop.go
+++ b/lib/loop/loop.go
@@ -9,14 +9,30 @@
 // measured: some milliseconds of work.
 const batch = 512
 
+// resumedLeast is how long a box has to be suspended to be called so. Chosen, not measured:
+// less than any limit in a core.
+const resumedLeast = 5 * time.Millisecond
+
+// Clock tells the time of a loop's steps.
+type Clock interface {
+	Now() time.Time
+	// Suspended returns for how long the box has been suspended so far, as of the last Now.
+	Suspended() time.Duration
+}
+
 // Loop carries events of type E to the goroutine that runs it.
 type Loop[E any] struct {
-	events chan E
-	done   chan struct{}
+	events    chan E
+	done      chan struct{}
+	suspended time.Duration // by the Clock, when Resumed was called last
 }
 
 // Steps is what the goroutine does. All are called by it alone.
 type Steps[E any] struct {
+	Clock Clock // nil for that of package time, which knows of no suspensions
+	// Resumed is called before anything else that happens after the box was suspended for
+	// so long; nil if that is nothing to the process.
+	Resumed func(now time.Time, suspended time.Duration)
 	Handle  func(now time.Time, e E)
 	Tick    func(now time.Time) // every so often
 	Perform func(now time.Time) // after events or a tick: do what was decided
@@ -50,20 +66,36 @@
 		case <-halt:
 			return
 		case <-tick.C:
-			s.Tick(time.Now())
+			s.Tick(l.now(&s))
 		case e := <-l.events:
-			s.Handle(time.Now(), e)
+			s.Handle(l.now(&s), e)
 			l.handleMore(s)
 		}
-		s.Perform(time.Now())
+		s.Perform(l.now(&s))
+	}
+}
+
+// now returns the present time, and has it told first if the box was suspended.
+func (l *Loop[E]) now(s *Steps[E]) time.Time {
+	if s.Clock == nil {
+		return time.Now()
+	}
+	now := s.Clock.Now()
+	if total := s.Clock.Suspended(); total-l.suspended >= resumedLeast {
+		suspended := total - l.suspended
+		l.suspended = total
+		if s.Resumed != nil {
+			s.Resumed(now, suspended)
+		}
 	}
+	return now
 }
 
 func (l *Loop[E]) handleMore(s Steps[E]) {
 	for range batch {
 		select {
 		case e := <-l.events:
-			s.Handle(time.Now(), e)
+			s.Handle(l.now(&s), e)
 		default:
 			return
 		}
--- a/lib/loop/loop_test.go
+++ b/lib/loop/loop_test.go
@@ -20,7 +20,36 @@
 	answer chan<- int
 }
 
+// resumedClock is the clock of a box that has been suspended.
+type resumedClock struct{}
+
+func (resumedClock) Now() time.Time           { return time.Unix(1000, 0) }
+func (resumedClock) Suspended() time.Duration { return time.Second }
+
 var _ = Describe("a control loop", func() {
+	It("tells of a suspension once, before the event that comes after it", func() {
+		l := loop.New[event](10)
+		halt := make(chan struct{})
+		var seen []string
+		go l.Run(halt, time.Hour, loop.Steps[event]{
+			Clock:   resumedClock{},
+			Resumed: func(_ time.Time, suspended time.Duration) { seen = append(seen, suspended.String()) },
+			Handle: func(now time.Time, e event) {
+				Expect(now).To(Equal(time.Unix(1000, 0)))
+				seen = append(seen, "event")
+				e.answer <- 0
+			},
+			Tick:    func(time.Time) {},
+			Perform: func(time.Time) {},
+		})
+		for range 2 {
+			loop.Ask(l, func(answer chan<- int) event { return event{answer: answer} })
+		}
+		close(halt)
+		<-l.Done()
+		Expect(seen).To(Equal([]string{"1s", "event", "event"}))
+	})
+
 	It("handles all events in order, ticks, answers, and ends", func() {
 		l := loop.New[event](10)
 		halt := make(chan struct{})
