scheduler: stop runs that are found and no longer wanted, also best-effort ones

Ruled out: a stop that waits at the worker for runs it may find (it would have to be kept for each owner and life). Change: an answer about runs that names one without a task of ours there has it stopped.

--- a/jobs/scheduler/reports.go
+++ b/jobs/scheduler/reports.go
@@ -120,11 +120,17 @@
 	}
 }
 
-// queryAnswered takes the worker's answer: what it does not know never runs.
+// queryAnswered takes the worker's answer: what it does not know never runs. What it has
+// and is no longer wanted is stopped: a stop that was sent before the worker had found the
+// run, which an earlier process there had started, did nothing, and from now on our lease
+// keeps the run.
 func (c *Core) queryAnswered(now time.Time, w *worker, m *wire.PartitionRuns) {
 	known := make(map[wire.RunRef]bool, len(m.Running)+len(m.Ended))
 	for _, ref := range m.Running {
 		known[ref] = true
+		if c.runningTask(w, ref) == nil {
+			c.send(w.name, &wire.StopRuns{Runs: []wire.RunRef{ref}})
+		}
 	}
 	c.tellNeeds(w, m.Running)
 	for i := range m.Ended {
