--- a/jobs/scheduler/crashes.go
+++ b/jobs/scheduler/crashes.go
@@ -21,12 +21,12 @@
 
 const reasonCrashes = "servers_crashed" // of a job that was given up
 
-// crashes are the backend servers that crashed under one task, or under those of one job.
+// crashes are the backend servers that crashed under one task.
 type crashes []durable.Crash
 
 // add notes a crash, if it is new.
 func (c *crashes) add(crash durable.Crash) {
-	same := func(o durable.Crash) bool { return o.Task == crash.Task && o.Instance == crash.Instance }
+	same := func(o durable.Crash) bool { return o.Instance == crash.Instance }
 	if !slices.ContainsFunc(*c, same) {
 		*c = append(*c, crash)
 	}
--- a/jobs/worker/worker.go
+++ b/jobs/worker/worker.go
@@ -90,7 +90,16 @@
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
-	w := &Worker{
+	w := newWorker(cfg, b, s, m, log, steady)
+	w.peers = peers
+	w.halt, w.end = context.WithCancel(context.Background())
+	w.run()
+	log.Info("worker_started", zap.String("worker", w.name), zap.String("peers", peers.Advertised()))
+	return w, nil
+}
+
+func newWorker(cfg *config.Worker, b Backend, s store.Store, m *metrics.Jobs, log *logging.Log, steady *clock.Clock) *Worker {
+	return &Worker{
 		cfg:      cfg,
 		clock:    steady,
 		log:      log,
@@ -101,14 +110,9 @@
 		name:     cfg.Box.Name + "/" + uuid.NewString(),
 		table:    runtable.New(cfg.Runs.Core(), steady.Now()),
 		owners:   make(map[string]*peer.Conn),
-		peers:    peers,
 		renewNow: make(chan struct{}, 1),
 		register: make(chan *store.Backend, 1),
 	}
-	w.halt, w.end = context.WithCancel(context.Background())
-	w.run()
-	log.Info("worker_started", zap.String("worker", w.name), zap.String("peers", peers.Advertised()))
-	return w, nil
 }
 
 // run starts the goroutines.
