--- a/jobs/promises/crashing_test.go
+++ b/jobs/promises/crashing_test.go
@@ -62,16 +62,35 @@
 	}
 }
 
+// TestSilentCrash plays the same on calm days on which the box goes with the server: its
+// calls get no answer, and the worker can only let its lease lapse.
+func TestSilentCrash(t *testing.T) {
+	cases := number("LICHENFALL_CASES", fewerCases)
+	seed := number("LICHENFALL_SEED", defaultSeed)
+	for i := range cases {
+		w := newWorld(seed + i)
+		w.silentCrashes = true
+		w.playCrashing(0)
+		if w.violation != "" {
+			t.Fatalf("seed %d: %s", seed+i, w.violation)
+		}
+	}
+}
+
 // playCrashing plays one case with jobs whose first task crashes its servers.
 func playCrashing(seed uint64, kinds int) *world {
 	w := newWorld(seed)
+	w.playCrashing(kinds)
+	return w
+}
+
+func (w *world) playCrashing(kinds int) {
 	for n := range crashingJobs {
 		j := newClientJob(w, jobsInCase+n, n%2 == 0)
 		j.crashing = true
 		w.after(warmUp+w.between(0, troubles), j.send)
 	}
 	w.play(kinds)
-	return w
 }
 
 // crashesServer returns whether the task crashes the servers that start it.
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -117,6 +117,10 @@
 		})
 		return
 	}
+	if n.w.silentCrashes && !n.backend.up {
+		n.w.counts["calls without answer"]++
+		return
+	}
 	if n.backend.silent {
 		n.w.counts["calls without answer"]++
 		if n.w.chance(0.5) {
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -35,10 +35,12 @@
 	// unguarded backend servers start what they are told to, and a start beyond their
 	// capacity breaks a promise; their stops take time.
 	unguarded bool
-	longWork  time.Duration // of each run; 0 for some 200 ms
-	onAccept  func()        // called when a client learns that its job is kept
-	violation string
-	counts    map[string]int
+	// silentCrashes are those of servers whose boxes go with them: calls get no answer.
+	silentCrashes bool
+	longWork      time.Duration // of each run; 0 for some 200 ms
+	onAccept      func()        // called when a client learns that its job is kept
+	violation     string
+	counts        map[string]int
 }
 
 type link struct{ from, to string }
--- a/lib/clock/clock_test.go
+++ b/lib/clock/clock_test.go
@@ -121,3 +121,19 @@
 		Expect(c.Now()).To(BeTemporally(">", before))
 	})
 })
+
+func BenchmarkNow(b *testing.B) {
+	c, err := clock.System()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		c.Now()
+	}
+}
+
+func BenchmarkNowOfPackageTime(b *testing.B) {
+	for b.Loop() {
+		_ = time.Now()
+	}
+}
