--- a/jobs/promises/crashing_test.go
+++ b/jobs/promises/crashing_test.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// TestCrashingTaskAfterLossOfAll plays a case in which all processes are lost between two
+// copies of a best-effort job, with all that they remembered: its task crashes two servers
+// before and two after, where another suspect was with it.
+func TestCrashingTaskAfterLossOfAll(t *testing.T) {
+	const seed = 20261354
+	if w := playCrashing(seed, allFaults); w.violation != "" {
+		t.Fatalf("seed %d: %s", seed, w.violation)
+	}
+}
+
 // TestSilentCrash plays the same on calm days on which the box goes with the server: its
 // calls get no answer, and the worker can only let its lease lapse.
 func TestSilentCrash(t *testing.T) {
