runtable: retire the connections that a coordinator has replaced

Cause: what a coordinator sent before it gave a connection up arrives when a cut heals, beside the new connection. Any connection heard last became the owner of the member's lease, and the lease that the new connection renewed lasts, so orders that had been written off were started while their successors ran elsewhere. Ruled out: the late heartbeat's stamp (it renews nothing; the lease was renewed by the new connection), the write-off (it counts from the newest heartbeat on any connection). Change: connections are numbered as they come up; a heartbeat retires the earlier ones of the same coordinator for good: orders, stops, questions and acknowledgements over them are dropped. A connection that came up late without being used retires nothing. Conclusion: the same holds for kept jobs, whose lease was taken back in the same way.

--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -76,6 +76,10 @@
 	}
 	delete(n.conns, c.to.name)
 	n.core.WorkerDown(n.now(), c.to.name)
+	if n.w.lateLinks && c.silent {
+		c.deliverHeld()
+		return
+	}
 	if c.to.alive && c.to.life == c.lifeOf[1] {
 		c.to.post(c.lifeOf[1], func() { c.to.drop(c) })
 	}
--- /dev/null
+++ b/jobs/promises/latelinks_test.go
@@ -0,0 +1,91 @@
+package promises
+
+import (
+	"testing"
+	"time"
+)
+
+// What the cases with late links have beside the others.
+const (
+	workerCuts  = 10
+	cutMost     = 3 * time.Second
+	heldAtMost  = 300 * time.Millisecond // after the cut has healed
+	heldRecheck = 20 * time.Millisecond  // how often a connection that holds messages looks whether it has
+	cutJobs     = 120                    // more than the others: many of them best-effort
+)
+
+// TestLateLinks plays cases in which workers are cut off for a while and what coordinators
+// sent into the cut arrives after it has healed, beside the connections that were made
+// since; some backend servers crash behind the cut and are back before.
+func TestLateLinks(t *testing.T) {
+	t.Parallel()
+	cases := number("LICHENFALL_CASES", defaultCases)
+	seed := number("LICHENFALL_SEED", defaultSeed)
+	for _, kinds := range []int{0, allFaults} {
+		late := 0
+		for i := range cases {
+			w := playLateLinks(seed+i, kinds)
+			if w.violation != "" {
+				t.Fatalf("seed %d with %d kinds of faults: %s", seed+i, kinds, w.violation)
+			}
+			late += w.counts["late messages"]
+		}
+		if late == 0 {
+			t.Fatal("no message came late")
+		}
+		t.Logf("%d kinds of faults: %d cases, %d late messages", kinds, cases, late)
+	}
+}
+
+func playLateLinks(seed uint64, kinds int) *world {
+	w := newWorld(seed)
+	w.lateLinks = true
+	for range workerCuts {
+		w.after(warmUp+w.between(0, troubles), w.cutWorker)
+	}
+	for n := range cutJobs {
+		w.after(warmUp+w.between(0, troubles), newClientJob(w, jobsInCase+n, w.chance(0.8)).send)
+	}
+	w.play(kinds)
+	return w
+}
+
+// cutWorker cuts a worker off from all coordinators for a while. Its backend server may
+// crash behind the cut and come back.
+func (w *world) cutWorker() {
+	i := w.random.IntN(workerCount)
+	name := w.workers[i].name
+	var links []link
+	for _, n := range w.coordinators {
+		links = append(links, link{n.name, name}, link{name, n.name})
+	}
+	for _, l := range links {
+		w.cut[l] = true
+	}
+	length := w.between(300*time.Millisecond, cutMost)
+	if w.chance(0.5) {
+		w.after(length/2, func() { w.crashBackend(i) })
+	}
+	w.after(length, func() {
+		for _, l := range links {
+			delete(w.cut, l)
+		}
+	})
+}
+
+// deliverHeld delivers what the connection holds a while after the cut has healed, and ends
+// it then at the worker.
+func (c *conn) deliverHeld() {
+	w := c.from.w
+	if !w.reaches(c.from.name, c.to.name) {
+		w.after(heldRecheck, c.deliverHeld)
+		return
+	}
+	w.after(w.between(0, heldAtMost), func() {
+		for _, deliver := range c.held {
+			w.counts["late messages"]++
+			deliver()
+		}
+		c.to.post(c.lifeOf[1], func() { c.to.drop(c) })
+	})
+}
--- a/jobs/promises/nodes_test.go
+++ b/jobs/promises/nodes_test.go
@@ -119,6 +119,7 @@
 	broken bool         // closed, and both sides know
 	silent bool         // stuck, and nobody knows
 	last   [2]time.Time // when the newest message each way arrives
+	held   []func()     // messages to the worker that a cut holds up, where the world's links deliver late
 }
 
 // toCoordinator carries a message, in order, unless the link is cut.
@@ -147,6 +148,9 @@
 	if !w.reaches(from, to) {
 		c.silent = true // nothing passes any more: a stream has no gaps
 	}
+	if c.silent && !c.broken && way == 0 && w.lateLinks {
+		c.held = append(c.held, deliver)
+	}
 	if c.broken || c.silent {
 		return
 	}
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -249,7 +249,7 @@
 		}
 		n.table.Kept(n.now(), c.name, m)
 	case *wire.RunNeeds:
-		n.table.Needs(n.now(), m)
+		n.table.Needs(n.now(), c.name, m)
 	case *wire.RunsQuery:
 		n.table.QueryRuns(n.now(), c.name, m)
 	}
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -37,10 +37,13 @@
 	unguarded bool
 	// silentCrashes are those of servers whose boxes go with them: calls get no answer.
 	silentCrashes bool
-	longWork      time.Duration // of each run; 0 for some 200 ms
-	onAccept      func()        // called when a client learns that its job is kept
-	violation     string
-	counts        map[string]int
+	// lateLinks have what a coordinator sent into a cut arrive when the cut has healed,
+	// although it has given the connection up and made another.
+	lateLinks bool
+	longWork  time.Duration // of each run; 0 for some 200 ms
+	onAccept  func()        // called when a client learns that its job is kept
+	violation string
+	counts    map[string]int
 }
 
 type link struct{ from, to string }
--- a/jobs/runtable/owners.go
+++ b/jobs/runtable/owners.go
@@ -11,6 +11,7 @@
 // owner is a connected coordinator.
 type owner struct {
 	member       string        // its process
+	number       uint64        // rises with each connection that is made to this process
 	asks         bool          // about its best-effort runs, to be answered once all is known
 	queries      []wire.RunRef // those that it names
 	heartbeatSeq uint64        // of the newest heartbeat
@@ -23,15 +24,27 @@
 // OwnerUp tells the table of a connection to a coordinator. name is used for no
 // other connection; member names the coordinator's process.
 func (t *Table) OwnerUp(_ time.Time, name, member string) {
-	o := &owner{member: member}
+	t.ownersUp++
+	o := &owner{member: member, number: t.ownersUp}
 	t.owners[name] = o
 	t.touch(name, o)
-	t.memberLease(name, member)
+}
+
+// retireEarlier takes nothing more over the earlier connections of a coordinator that is
+// heard over a later one. It had given them up before: what it sent there may still arrive
+// when a cut heals, and it has long written off the runs that it ordered so. A connection
+// over which it has sent anything came up here before it made the next, since it first
+// waits for a status.
+func (t *Table) retireEarlier(heard *owner) {
+	for name, o := range t.owners {
+		if o.member == heard.member && o.number < heard.number {
+			delete(t.owners, name)
+		}
+	}
 }
 
 // memberLease returns the lease of a coordinator on the runs of its best-effort jobs, and
-// makes the connection its owner: the one over which the coordinator was heard last.
-// Several may come and go in any order.
+// makes the connection its owner: the latest over which the coordinator was heard.
 func (t *Table) memberLease(name, member string) *ownerLease {
 	key := leaseKey{member: member}
 	l := t.leases[key]
@@ -56,6 +69,7 @@
 	if o == nil {
 		return
 	}
+	t.retireEarlier(o)
 	o.heartbeatSeq = m.Seq
 	t.touch(name, o)
 	t.renewOwner(t.memberLease(name, o.member), m.Echo, t.cfg.BestEffortLease)
@@ -100,7 +114,10 @@
 }
 
 // Needs takes a coordinator's word of what runs here take.
-func (t *Table) Needs(_ time.Time, m *wire.RunNeeds) {
+func (t *Table) Needs(_ time.Time, name string, m *wire.RunNeeds) {
+	if t.owners[name] == nil {
+		return
+	}
 	for _, n := range m.Runs {
 		r := t.runs[n.Ref]
 		if r == nil || !r.needUnknown {
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -83,9 +83,11 @@
 	noRoomAt     time.Time     // when the backend server last had less room than we thought
 
 	leases map[leaseKey]*ownerLease
-	owners map[string]*owner // by connection
-	dirty  []string          // owners that are to get a status
-	recent map[wire.RunRef]recentEnd
+	owners map[string]*owner // by connection; those that were retired are not among them
+	// ownersUp counts the connections of owners so far.
+	ownersUp uint64
+	dirty    []string // owners that are to get a status
+	recent   map[wire.RunRef]recentEnd
 	// crashed holds the runs of kept jobs that were lost with crashed lives, until their
 	// owners have kept that.
 	crashed map[wire.RunRef]crashedRun
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -159,7 +159,7 @@
 		Expect(e.Starts).To(BeEmpty())
 		Expect(ends(e)).To(ConsistOf(HaveField("Reason", "no_lease")))
 		Expect(e.Stops).To(BeEmpty(), "its lease keeps what an earlier process started")
-		f.table.Needs(f.now, &wire.RunNeeds{Runs: []wire.RunNeed{{Ref: ref(9, 1), Need: durable.Resources{CPU: 1000}}}})
+		f.table.Needs(f.now, owner, &wire.RunNeeds{Runs: []wire.RunNeed{{Ref: ref(9, 1), Need: durable.Resources{CPU: 1000}}}})
 		claim(true)
 		f.order(7, ref(0, 2))
 		Expect(f.take().Starts).To(HaveLen(1))
--- a/jobs/worker/events.go
+++ b/jobs/worker/events.go
@@ -55,7 +55,7 @@
 	case *wire.RunsQuery:
 		w.table.QueryRuns(now, from, m)
 	case *wire.RunNeeds:
-		w.table.Needs(now, m)
+		w.table.Needs(now, from, m)
 	case *wire.EndsKept:
 		w.table.Kept(now, from, m)
 	}
