runtable, scheduler: count crashes that nothing but a later life tells of

Cause: where a box goes with its backend server, calls have no answer and the runs lapse; the task was started anew each second and ended one server after another. And of two suspects at one server none was accused, so that after a loss of all processes a task ended one server too many. Ruled out: calling every silent lapse a crash (a frozen server is none); keeping crashes of best-effort jobs in the store (not needed for the listed case). A server takes one suspect at a time. The spec of two suspects that were ordered is replaced by one of two that are found: an order of the second is handed back now, which has a spec of its own.

--- a/jobs/promises/crashing_test.go
+++ b/jobs/promises/crashing_test.go
@@ -87,6 +87,24 @@
 	}
 }
 
+// TestSilentCrashRegressions plays the seeds that failed once, each with its cause.
+func TestSilentCrashRegressions(t *testing.T) {
+	t.Parallel()
+	for _, r := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{20261306, "a task that waited for news of silent servers was started after its job had been refused"},
+	} {
+		w := newWorld(r.seed)
+		w.silentCrashes = true
+		w.playCrashing(0)
+		if w.violation != "" {
+			t.Errorf("seed %d: %s (then: %s)", r.seed, w.violation, r.cause)
+		}
+	}
+}
+
 // playCrashing plays one case with jobs whose first task crashes its servers.
 func playCrashing(seed uint64, kinds int) *world {
 	w := newWorld(seed)
--- a/jobs/runtable/crash_test.go
+++ b/jobs/runtable/crash_test.go
@@ -77,10 +77,23 @@
 	})
 
 	It("accuses no suspect alone where there were two", func() {
+		f := newFixture()
+		f.table.Identify(f.now, identity)
+		f.hold(nil)
+		f.table.OwnerUp(f.now, owner, member)
+		f.heartbeat(7)
+		f.hold([]runtable.ListedRun{{Ref: ref(0, 1)}, {Ref: ref(1, 1)}}) // of an earlier process: of unknown crashes
+		f.take()
+		f.crash()
+		Expect(ends(f.take())).To(And(HaveLen(2), HaveEach(HaveField("Alone", false))))
+	})
+
+	It("finds one suspect at a time: the next is handed back while one is there", func() {
 		f := newFixture().ready()
-		f.orderSuspects(2, 1, 2)
+		f.orderSuspects(1, 1, 2, 0)
+		Expect(ends(f.out)).To(ConsistOf(And(HaveField("Ref", ref(1, 1)), HaveField("How", uint8(wire.EndNotRun)), HaveField("Reason", "suspect_there"))))
 		f.crash()
-		Expect(ends(f.take())).To(HaveEach(HaveField("Alone", false)))
+		Expect(ends(f.take())).To(ContainElement(And(HaveField("Ref", ref(0, 1)), HaveField("Alone", true))))
 	})
 
 	It("is none where the backend server had said that it would leave", func() {
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -103,8 +103,12 @@
 	return wire.RunEnd{Ref: r.order.Ref, How: uint8(how), Reason: reason, RunMS: r.age(now)}
 }
 
-func (t *Table) endRunWith(r *run, e wire.RunEnd) {
-	l := t.leases[r.lease]
+// endRunWith tells the owner of the run of its end.
+func (t *Table) endRunWith(r *run, e wire.RunEnd) { t.endUnder(r.lease, e) }
+
+// endUnder tells the owner of the lease of an end.
+func (t *Table) endUnder(key leaseKey, e wire.RunEnd) {
+	l := t.leases[key]
 	if l == nil {
 		return
 	}
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -66,7 +66,9 @@
 		t.endAll(now, wire.EndLost, reason)
 	} else {
 		t.endCrashed(now, reason)
+		t.silentCrashed(now)
 	}
+	clear(t.silenced)
 	t.ends = make(map[uint64]*end)
 	t.outcomes = newOutcomes()
 	t.seen, t.acked = 0, 0
--- a/jobs/runtable/lapse.go
+++ b/jobs/runtable/lapse.go
@@ -120,7 +120,11 @@
 	}
 	t.lapsing = false
 	t.note(LeaseLapsed, wire.RunRef{}, "")
-	t.endAll(now, wire.EndLapsed, string(LeaseLapsed))
+	if t.silent {
+		t.endSilent(now)
+	} else {
+		t.endAll(now, wire.EndLapsed, string(LeaseLapsed))
+	}
 	for _, e := range t.ends {
 		e.stored = true
 	}
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -91,6 +91,9 @@
 	// crashed holds the runs of kept jobs that were lost with crashed lives, until their
 	// owners have kept that.
 	crashed map[wire.RunRef]crashedRun
+	// silenced holds the runs whose lease lapsed while the backend server was silent, until
+	// it answers again or its next life shows that it had crashed.
+	silenced map[wire.RunRef]crashedRun
 
 	effects Effects
 }
@@ -122,6 +125,7 @@
 		owners:   make(map[string]*owner),
 		recent:   make(map[wire.RunRef]recentEnd),
 		crashed:  make(map[wire.RunRef]crashedRun),
+		silenced: make(map[wire.RunRef]crashedRun),
 		renewals: make(map[uint64]bool),
 		outcomes: newOutcomes(),
 	}
--- a/jobs/runtable/silence.go
+++ b/jobs/runtable/silence.go
@@ -17,6 +17,7 @@
 	t.silent = silent
 	t.touchOwners()
 	if !silent {
+		clear(t.silenced) // it lives
 		t.note(BackendAnswers, wire.RunRef{}, "")
 		t.repeatCalls(now)
 		return
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -44,13 +44,17 @@
 }
 
 // refusal returns why an order is handed back, or nothing if it is taken: it has to
-// fit now.
+// fit now. Tasks under which servers have crashed run here one at a time, so that the next
+// crash tells which of them is at fault: with two together none is accused, and each ends
+// one server more, after all coordinators have lost their memory for it one too many.
 func (t *Table) refusal(now time.Time, name string, order *wire.RunOrder, key leaseKey) string {
 	switch {
 	case !t.valid(now, name, order, key):
 		return "no_lease"
 	case !t.canStart():
 		return "not_ready"
+	case order.Crashes > 0 && t.suspects() > 0:
+		return "suspect_there"
 	case !order.Need.Fits(t.free()), now.Sub(t.noRoomAt) < noRoomPause:
 		return "busy"
 	}
--- a/jobs/scheduler/besteffort.go
+++ b/jobs/scheduler/besteffort.go
@@ -24,7 +24,7 @@
 		return
 	}
 	j := newJob(s, now)
-	if c.recallCrashes(j) {
+	if c.recallCrashes(now, j) {
 		c.note(Note{What: Decision(jobPrefix + durable.Failed.String()), Job: s.ID, Reason: reasonCrashes})
 		c.reply(Reply{Call: call, ID: s.ID, State: durable.Failed})
 		return
--- a/jobs/scheduler/crashes.go
+++ b/jobs/scheduler/crashes.go
@@ -55,14 +55,14 @@
 // whether the job is given up for it.
 func (c *Core) runCrashed(now time.Time, t *task, e *wire.RunEnd) (givenUp bool) {
 	t.crashes.add(durable.Crash{Task: t.number, Instance: e.Instance, Begun: e.Begun})
+	t.forgetSilence(e.Instance)
 	// Of one crash a worker may be wrong: the run had ended, and the end went with the
 	// server unheard. A kept job is not called failed on the word of two.
 	alone := e.Alone && t.job.sub.BestEffort
 	givenUp = t.crashes.tooMany(alone)
 	if t.job.sub.BestEffort {
 		crash := wire.TaskCrash{Task: t.id, Instance: e.Instance, Begun: e.Begun, GivenUp: givenUp}
-		c.rememberCrash(now, crash)
-		c.effects.Crashes = append(c.effects.Crashes, crash)
+		c.tellCrash(now, crash)
 	}
 	if givenUp {
 		c.finish(now, t.job, durable.Failed, reasonCrashes)
--- a/jobs/scheduler/crashmemory.go
+++ b/jobs/scheduler/crashmemory.go
@@ -33,12 +33,35 @@
 		m = &crashMemory{}
 		c.crashed[crash.Task.Job] = m
 	}
-	if !slices.Contains(m.crashes, crash) {
+	same := func(o wire.TaskCrash) bool { return o.Task == crash.Task && o.Instance == crash.Instance }
+	at := slices.IndexFunc(m.crashes, same)
+	switch {
+	case at < 0:
 		m.crashes = append(m.crashes, crash)
+	case m.crashes[at].Suspected:
+		m.crashes[at] = crash // it is certain now, or still suspected
+	case !crash.Suspected && crash.GivenUp:
+		m.crashes[at] = crash
 	}
 	m.at = now
 }
 
+// tellCrash notes a crash under a best-effort job here and at the other coordinators.
+func (c *Core) tellCrash(now time.Time, crash wire.TaskCrash) {
+	c.rememberCrash(now, crash)
+	c.effects.Crashes = append(c.effects.Crashes, crash)
+}
+
+// crashOfGone takes the crash of a server, or its silence, under a run of a best-effort job
+// that is no longer here: its caller may send it again.
+func (c *Core) crashOfGone(now time.Time, e *wire.RunEnd) {
+	how := wire.End(e.How)
+	silent := how == wire.EndLapsed && e.Instance != ""
+	if e.Ref.BestEffort() && (how == wire.EndCrashed || silent) {
+		c.tellCrash(now, wire.TaskCrash{Task: e.Ref.Task, Instance: e.Instance, Begun: e.Begun, Suspected: silent})
+	}
+}
+
 // HearCrashes takes what another coordinator tells of crashes under best-effort jobs.
 func (c *Core) HearCrashes(now time.Time, m *wire.CrashNews) {
 	for _, crash := range m.Crashes {
@@ -47,8 +70,8 @@
 }
 
 // recallCrashes gives the tasks of a best-effort job that was here or elsewhere before their
-// crashes. It returns whether the job was given up for them.
-func (c *Core) recallCrashes(j *job) (givenUp bool) {
+// crashes. It returns whether the job was given up for them, or is now.
+func (c *Core) recallCrashes(now time.Time, j *job) (givenUp bool) {
 	m := c.crashed[j.id]
 	if m == nil {
 		return false
@@ -56,8 +79,14 @@
 	for i := range m.crashes {
 		crash := &m.crashes[i]
 		givenUp = givenUp || crash.GivenUp
-		if t := j.find(crash.Task); t != nil {
+		t := j.find(crash.Task)
+		switch {
+		case t == nil:
+		case crash.Suspected:
+			t.fellSilent(now, crash.Instance)
+		default:
 			t.crashes.add(durable.Crash{Task: t.number, Instance: crash.Instance, Begun: crash.Begun})
+			givenUp = givenUp || t.crashes.tooMany(false)
 		}
 	}
 	return givenUp
--- a/jobs/scheduler/ends.go
+++ b/jobs/scheduler/ends.go
@@ -76,6 +76,7 @@
 // endOfFinal acknowledges an end that no longer matters; not before the final
 // state is in the store.
 func (c *Core) endOfFinal(now time.Time, w *worker, j *job, e *wire.RunEnd) {
+	c.crashOfGone(now, e)
 	p := c.partitions[e.Ref.Task.Job.Partition(c.cfg.Partitions)]
 	if p == nil {
 		return
--- a/jobs/scheduler/ready.go
+++ b/jobs/scheduler/ready.go
@@ -94,6 +94,11 @@
 		t.state = taskBlocked
 		return
 	}
+	if t.suspended(now) {
+		t.state = taskBlocked
+		c.suspended[t] = struct{}{}
+		return
+	}
 	t.state = taskReady
 	c.readyOf(t.job.sub.Queue.Service).push(now, t)
 }
@@ -107,7 +112,9 @@
 	return q
 }
 
+// unqueue takes the task back: it does not want a worker any more.
 func (c *Core) unqueue(t *task) {
+	delete(c.suspended, t)
 	if t.position >= 0 {
 		heap.Remove(t.heap, t.position)
 	}
--- a/jobs/scheduler/retries.go
+++ b/jobs/scheduler/retries.go
@@ -32,7 +32,10 @@
 	case wire.EndNotRun:
 		w.status.Free = durable.Resources{} // until it says what it has
 		c.enqueue(now, t)
-	default: // stopped, lapsed, or gone with a server that had said so: no fault of the task
+	case wire.EndLapsed:
+		c.runLapsed(now, t, e)
+		c.enqueue(now, t)
+	default: // stopped, or gone with a server that had said so: no fault of the task
 		c.enqueue(now, t)
 	}
 	c.keepEnd(now, w, t.job, e, how)
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -61,6 +61,7 @@
 	// confirmedAt is when the newest join was sent that the store has answered.
 	confirmedAt time.Time
 	ready       map[string]*readyQueue // tasks that want a worker, by service
+	suspended   map[*task]struct{}     // tasks that wait for news of silent servers
 
 	// Workers.
 	workers  map[string]*worker
@@ -81,6 +82,7 @@
 		partitions: make(map[uint32]*partition),
 		bestEffort: make(map[durable.JobID]*job),
 		crashed:    make(map[durable.JobID]*crashMemory),
+		suspended:  make(map[*task]struct{}),
 		workers:    make(map[string]*worker),
 		ready:      make(map[string]*readyQueue),
 		callers:    make(map[Call]waitingCall),
@@ -112,6 +114,7 @@
 	c.giveUpUseless(now, serving)
 	c.tickWatchers(now)
 	c.forgetCrashes(now)
+	c.resumeTasks(now)
 }
 
 func (c *Core) send(worker string, m wire.Message) {
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 	run       uint32    // the newest run
 	failures  []uint32  // runs that failed
 	crashes   crashes   // runs that were lost with a crashed backend server
+	silences  []silence // servers that fell silent under it, and may have crashed
 	straggles int       // runs that were stopped as stragglers
 	avoid     []string  // workers where a run failed or straggled
 	worker    *worker   // while assigned
@@ -38,6 +40,11 @@
 	position  int // in heap; -1 when it is in none
 }
 
+// byTask orders tasks by their jobs, and within one by their numbers.
+func byTask(a, b *task) int {
+	return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.number, b.number))
+}
+
 // turn is the order of the tasks that are on time: what is left of jobs that
 // have begun first, in the order in which they came, then by the time halfway to
 // the due time, so that tight jobs go before loose ones of the same moment.
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -38,9 +38,7 @@
 
 // tasks returns the tasks that are with the worker, in their order.
 func (w *worker) tasks() []*task {
-	return ordered.KeysFunc(w.assigned, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.number, b.number))
-	})
+	return ordered.KeysFunc(w.assigned, byTask)
 }
 
 // byName orders workers by their names.
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -125,7 +125,9 @@
 	Checkpoint string
 	RunMS      int64  // how long the worker saw it running
 	Reason     string // of EndNotRun, EndLost and EndCrashed
-	Instance   string // of EndCrashed: the life of the backend server
+	// Instance is the life of the backend server: of EndCrashed, and of EndLapsed where the
+	// server was silent and so may have crashed.
+	Instance string
 	// Begun says of EndCrashed that the run was at work; without it, its start had no
 	// answer yet.
 	Begun bool
@@ -240,6 +242,8 @@
 	Instance string // the life of the backend server
 	Begun    bool   // the run was at work; else its start had no answer yet
 	GivenUp  bool   // the job was given up for it
+	// Suspected says that nothing but the server's silence speaks for a crash.
+	Suspected bool
 }
 
 // CrashNews tells other coordinators of crashes under best-effort jobs: a caller without an
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -1674,8 +1674,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskCrash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o, err = z.Task.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Task")
@@ -1684,6 +1684,7 @@
 	o = msgp.AppendString(o, z.Instance)
 	o = msgp.AppendBool(o, z.Begun)
 	o = msgp.AppendBool(o, z.GivenUp)
+	o = msgp.AppendBool(o, z.Suspected)
 	return
 }
 
@@ -1695,8 +1696,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	bts, err = z.Task.UnmarshalMsg(bts)
@@ -1719,13 +1720,18 @@
 		err = msgp.WrapError(err, "GivenUp")
 		return
 	}
+	z.Suspected, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspected")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TaskCrash) Msgsize() (s int) {
-	s = 1 + z.Task.Msgsize() + msgp.StringPrefixSize + len(z.Instance) + msgp.BoolSize + msgp.BoolSize
+	s = 1 + z.Task.Msgsize() + msgp.StringPrefixSize + len(z.Instance) + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
