scheduler, runtable, platform: start nothing in evacuated data centres

Cause: operators' requests to empty a data centre (EVAC) were not read at all. Ways weighed for the last word: (a) each coordinator's reading alone: no call to the store more, but orders on their way and coordinators that the store turns away still start tasks; (b) each worker reads for itself: 70 long polls a second on the shifted site, 960 at the target size, and 1 s later where a poll is lost; (c, taken) coordinators read, tell workers at once and in each heartbeat with the offset and age of the reading, and the worker has the last word by the newest offset that it has from anybody; it reads for itself only when no coordinator's word is younger than 2 s. Change: the adapter follows evacuations beside the configuration in the same readings; nothing is ordered before the first; evacuated workers count for no room, share or subset and keep their connections; with all data centres evacuated jobs are refused at once; starts without answer are stopped, not repeated; cold servers are neither stragglers nor outliers.

--- a/config/runs.go
+++ b/config/runs.go
@@ -89,9 +89,10 @@
 	c.span("runs.first_lease", r.FirstLease, 0, r.OwnerLease)
 }
 
-// Core returns the settings of the worker's core.
-func (r *Runs) Core() runtable.Settings {
+// Core returns the settings of the core of a worker in the data centre.
+func (r *Runs) Core(dataCentre string) runtable.Settings {
 	return runtable.Settings{
+		DataCentre:      dataCentre,
 		Partitions:      r.Partitions,
 		OwnerLease:      r.OwnerLease.D(),
 		BestEffortLease: r.BestEffortLease.D(),
--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -95,6 +95,10 @@
 	// tickEvery is how often the core looks at the time: well below its shortest
 	// limit, of 100 ms. Chosen, not measured.
 	tickEvery = 20 * time.Millisecond
+	// operatorsPause is the time between two readings of the operators' records while the
+	// store does not answer. Chosen, not measured: a thirtieth of the time in which an
+	// evacuation has to be heeded, at ten calls a second from each coordinator.
+	operatorsPause = 100 * time.Millisecond
 )
 
 // Start starts a coordinator on the store.
@@ -155,7 +159,7 @@
 	go c.loop.Run(c.halt.Done(), tickEvery, loop.Steps[event]{Clock: c.clock, Resumed: c.resumed, Handle: c.handle, Tick: c.tick, Perform: c.perform})
 	go c.keepJoining()
 	go c.followMembers()
-	go c.store.Configurations(c.halt, c.configure)
+	go c.store.Operators(c.halt, operatorsPause, c.operatorsHeard)
 }
 
 // resumed takes the end of a suspension of the box. All leases count that time by our clock,
@@ -168,6 +172,14 @@
 	return peer.Introduction(wire.RoleCoordinator, c.cfg.Box.Name, c.cfg.Box.DataCentre, c.member, c.peers.Advertised())
 }
 
+// operatorsHeard takes a reading of what operators have put in force.
+func (c *Coordinator) operatorsHeard(news routing.News) {
+	if news.Configuration != nil {
+		c.configure(news.Configuration)
+	}
+	c.loop.Post(evacuationsHeard{news.Evacuations})
+}
+
 // configure puts a configuration in force unless a newer one is.
 func (c *Coordinator) configure(cfg *routing.Configuration) {
 	old := c.configuration.Load()
--- a/jobs/coordinator/events.go
+++ b/jobs/coordinator/events.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
+	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/jobs/store"
 	"github.com/lichenfall/lichenfall/wire"
@@ -114,6 +115,16 @@
 
 func (e membersHeard) apply(c *Coordinator, now time.Time) { c.membersChanged(now, e.members) }
 
+// evacuationsHeard holds the data centres in which nothing may be started, as the store has
+// just told.
+type evacuationsHeard struct{ evacuations routing.Evacuations }
+
+func (e evacuationsHeard) apply(c *Coordinator, now time.Time) {
+	if c.core.Evacuate(now, e.evacuations) {
+		c.chooseWorkers(now)
+	}
+}
+
 // called is a caller's request, ours or passed on by another coordinator.
 type called struct{ call *call }
 
--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -134,7 +134,9 @@
 func (c *Coordinator) shareWorkers(workers []subset.Worker, wanted subset.Wanted) {
 	byService := make(map[string]int)
 	for _, w := range workers {
-		byService[w.Service]++
+		if !w.Evacuated {
+			byService[w.Service]++
+		}
 	}
 	settings := c.cfg.Subset.Core()
 	for service, n := range byService {
@@ -153,6 +155,7 @@
 		if m.Backend != nil {
 			w.Service = m.Backend.Service
 		}
+		w.Evacuated = c.core.Evacuated(m.DataCentre)
 		if l := c.links[address]; l != nil && l.conn == nil {
 			w.Lost = now.Sub(l.changed) > workerLostAfter
 		}
--- a/jobs/fakestore/store.go
+++ b/jobs/fakestore/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	mu            sync.Mutex
 	state         *State
 	configuration *routing.Configuration
+	evacuations   routing.Evacuations
 	changed       chan struct{} // closed and replaced at each change
 	refusing      bool
 	hidden        bool // the registered processes cannot be read
@@ -50,6 +52,14 @@
 	s.change()
 }
 
+// Evacuate sets the data centres in which nothing may be started.
+func (s *Store) Evacuate(dataCentres ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuations = routing.Evacuations{Offset: s.evacuations.Offset + 1, DataCentres: slices.Sorted(slices.Values(dataCentres))}
+	s.change()
+}
+
 func (s *Store) change() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -141,15 +151,14 @@
 	})
 }
 
-// Configurations implements store.Store.
-func (s *Store) Configurations(ctx context.Context, f func(*routing.Configuration)) {
+// Operators implements store.Store.
+func (s *Store) Operators(ctx context.Context, _ time.Duration, f func(routing.News)) {
 	s.follow(ctx, func() func() {
-		c := s.configuration
-		return func() {
-			if c != nil {
-				f(c)
-			}
+		if s.refusing {
+			return func() {}
 		}
+		news := routing.News{Configuration: s.configuration, Evacuations: s.evacuations}
+		return func() { f(news) }
 	})
 }
 
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -66,7 +66,7 @@
 	worker.conns[c.name] = c
 	worker.table.OwnerUp(n.now(), c.name, n.incarnation())
 	worker.perform()
-	n.core.WorkerUp(n.now(), worker.name, "dc")
+	n.core.WorkerUp(n.now(), worker.name, worker.dataCentre)
 }
 
 func (n *coordinatorNode) lost(c *conn) {
@@ -317,7 +317,7 @@
 	n.life++
 	n.inbox = nil
 	n.newClock()
-	n.core = scheduler.New(n.w.cfg.Core("dc"), n.w.random.Uint64())
+	n.core = scheduler.New(n.w.cfg.Core(n.w.dataCentreOf(0)), n.w.random.Uint64())
 	n.owned = ownership.New(1200 * time.Millisecond)
 	n.epochs = make(map[uint32]uint64)
 	n.append = make(map[uint32]*store.Appending)
@@ -330,6 +330,7 @@
 	}
 	n.later(n.w.between(0, 50*time.Millisecond), n.join)
 	n.later(tickEvery, n.tick)
+	n.followOperators()
 }
 
 func (n *coordinatorNode) kill() {
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -14,10 +14,13 @@
 	table   *runtable.Table
 	backend *backendNode
 	conns   map[string]*conn
+
+	dataCentre string
+	troubledAt time.Time // when the box or its links were last in trouble
 }
 
-func newWorkerNode(w *world, name string) *workerNode {
-	n := &workerNode{process: process{w: w, name: name}, backend: newBackendNode(w)}
+func newWorkerNode(w *world, name, dataCentre string) *workerNode {
+	n := &workerNode{process: process{w: w, name: name}, dataCentre: dataCentre, backend: newBackendNode(w)}
 	n.start()
 	return n
 }
@@ -140,6 +143,8 @@
 }
 
 func (n *workerNode) startRun(call runtable.StartCall) {
+	const orderInTime = 100 * time.Millisecond // what is carried out later is late
+	ordered := n.w.now
 	done := false
 	var result runtable.StartResult
 	finish := func(r runtable.StartResult) {
@@ -153,6 +158,9 @@
 	n.order(func() runtable.RenewAnswer {
 		if n.backend.up {
 			result = n.backend.start(call, n.name)
+			if result == runtable.StartAccepted && n.w.now.Sub(ordered) < orderInTime {
+				n.w.checkEvacuated(n, call.Ref)
+			}
 		}
 		return runtable.RenewAnswer{}
 	}, func(runtable.RenewAnswer) { finish(result) })
@@ -194,11 +202,12 @@
 	n.inbox = nil
 	n.newClock()
 	n.resumed = func(now time.Time, suspended time.Duration) { n.table.Resumed(now, suspended) }
-	n.table = runtable.New(n.w.runs.Core(), n.now())
+	n.table = runtable.New(n.w.runs.Core(n.dataCentre), n.now())
 	n.conns = make(map[string]*conn)
 	n.later(n.w.between(0, 100*time.Millisecond), n.hear)
 	n.later(tickEvery, n.tick)
 	n.later(5*time.Millisecond, n.holdAgain)
+	n.followOperators()
 }
 
 func (n *workerNode) kill() {
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -40,10 +40,15 @@
 	// lateLinks have what a coordinator sent into a cut arrive when the cut has healed,
 	// although it has given the connection up and made another.
 	lateLinks bool
-	longWork  time.Duration // of each run; 0 for some 200 ms
-	onAccept  func()        // called when a client learns that its job is kept
-	violation string
-	counts    map[string]int
+	// evacuating says that operators evacuate data centres, and processes read of it.
+	evacuating      bool
+	operators       operators
+	calmDay         bool          // nothing goes wrong
+	storeTroubledAt time.Time     // when the store was last in trouble
+	longWork        time.Duration // of each run; 0 for some 200 ms
+	onAccept        func()        // called when a client learns that its job is kept
+	violation       string
+	counts          map[string]int
 }
 
 type link struct{ from, to string }
@@ -76,10 +81,14 @@
 const (
 	coordinatorCount = 3
 	workerCount      = 4
+	dataCentres      = 2 // where some are evacuated
 	partitionCount   = 4
 )
 
-func newWorld(seed uint64) *world {
+func newWorld(seed uint64) *world { return newWorldWith(seed, func(*world) {}) }
+
+// newWorldWith returns a world that is set before its processes start.
+func newWorldWith(seed uint64, set func(*world)) *world {
 	scheduler := config.DefaultScheduler()
 	scheduler.Partitions = partitionCount
 	runs := config.DefaultRuns()
@@ -95,9 +104,14 @@
 		cfg:        &scheduler,
 		runs:       &runs,
 		counts:     make(map[string]int),
+		operators:  operators{offset: 1, evacuated: make(map[string]time.Time)},
+	}
+	set(w)
+	if w.evacuating {
+		w.after(tickEvery, w.noteTrouble)
 	}
 	for i := range workerCount {
-		w.workers = append(w.workers, newWorkerNode(w, fmt.Sprintf("w%d", i)))
+		w.workers = append(w.workers, newWorkerNode(w, fmt.Sprintf("w%d", i), w.dataCentreOf(i)))
 	}
 	for i := range coordinatorCount {
 		w.coordinators = append(w.coordinators, newCoordinatorNode(w, fmt.Sprintf("c%d", i)))
@@ -105,6 +119,15 @@
 	return w
 }
 
+// dataCentreOf returns the data centre of the worker: all are in one, unless there are
+// evacuations.
+func (w *world) dataCentreOf(worker int) string {
+	if !w.evacuating {
+		return "dc"
+	}
+	return fmt.Sprintf("dc%d", worker%dataCentres)
+}
+
 func (w *world) after(d time.Duration, do func()) {
 	w.order++
 	heap.Push(&w.queue, &event{w.now.Add(d), w.order, do})
--- a/jobs/runtable/adopted_test.go
+++ b/jobs/runtable/adopted_test.go
@@ -17,7 +17,7 @@
 // out again: a backend server need not guard its capacity itself.
 func TestAdoptedRunsTakeRoom(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := runtable.New(newFixture().cfg.Core(), now)
+	table := runtable.New(newFixture().cfg.Core("dc"), now)
 	table.Identify(now, runtable.Identity{Instance: identity.Instance})
 	found := runtable.ListedRun{Ref: wire.RunRef{Task: durable.TaskID{Job: job}, Run: 1}}
 	for range 2 { // the first answer tells the clock that the fencing token is taken from
--- a/jobs/runtable/bench_test.go
+++ b/jobs/runtable/bench_test.go
@@ -12,7 +12,7 @@
 // benchTable returns a table that takes orders.
 func benchTable(now time.Time) *runtable.Table {
 	cfg := config.DefaultRuns()
-	t := runtable.New(cfg.Core(), now)
+	t := runtable.New(cfg.Core("dc"), now)
 	t.Identify(now, identity)
 	for range 2 {
 		call, _ := t.NextRenewal(now)
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -7,28 +7,30 @@
 
 // The decisions of a worker. docs/OPERATIONS.md says what each means on call.
 const (
-	BackendLost      Decision = "backend_lost"       // its life is over; all its runs with it
-	BackendSilent    Decision = "backend_silent"     // it does not answer: no new runs, no renewals
-	BackendAnswers   Decision = "backend_answers"    // it answers again
-	ReportLate       Decision = "report_late"        // of a life that is over, or overtaken by a later one
-	OwnerLeaseEnded  Decision = "owner_lease_ended"  // no heartbeat in time: the owner's runs are stopped
-	LeaseLapsing     Decision = "lease_lapsing"      // nothing is renewed until the backend server has ended all
-	LeaseLapsed      Decision = "lease_lapsed"       // all that ran is dead for certain
-	RunAdopted       Decision = "run_adopted"        // an earlier process here had started it
-	RunRefused       Decision = "run_refused"        // an order that was not taken
-	StartRepeated    Decision = "start_repeated"     // an order to the backend server had no answer
-	StartUnanswered  Decision = "start_unanswered"   // still none: the run number is stopped
-	StragglerStopped Decision = "straggler_stopped"  // it ran for longer than its limit
-	runEndPrefix              = "run_"               // run_crashed, run_lost, run_lapsed, run_not_run: ends that we decide
-	reasonSealed              = "sealed"             // stopped before it was seen to run, so it never will
-	reasonStopping            = "sealing"            // the stop is on its way
-	reasonSilent              = "backend_silent"     // the backend server does not answer
-	reasonNoAnswer            = "no_answer"          // to one call
-	reasonRefused             = "connection_refused" // nothing listens any more
-	reasonLifeOver            = "life_over"          // the backend server has another life now
-	reasonOvertaken           = "overtaken"          // a report that was sent later has come before
-	suffixAnnounced           = " announced"         // the backend server had said that it would leave
-	suffixUnanswered          = " start_unanswered"  // the run may have begun or not
+	BackendLost         Decision = "backend_lost"          // its life is over; all its runs with it
+	BackendSilent       Decision = "backend_silent"        // it does not answer: no new runs, no renewals
+	BackendAnswers      Decision = "backend_answers"       // it answers again
+	ReportLate          Decision = "report_late"           // of a life that is over, or overtaken by a later one
+	OwnerLeaseEnded     Decision = "owner_lease_ended"     // no heartbeat in time: the owner's runs are stopped
+	LeaseLapsing        Decision = "lease_lapsing"         // nothing is renewed until the backend server has ended all
+	LeaseLapsed         Decision = "lease_lapsed"          // all that ran is dead for certain
+	RunAdopted          Decision = "run_adopted"           // an earlier process here had started it
+	RunRefused          Decision = "run_refused"           // an order that was not taken
+	StartRepeated       Decision = "start_repeated"        // an order to the backend server had no answer
+	StartUnanswered     Decision = "start_unanswered"      // still none: the run number is stopped
+	StragglerStopped    Decision = "straggler_stopped"     // it ran for longer than its limit
+	DataCentreEvacuated Decision = "data_centre_evacuated" // no task is started here
+	DataCentreReturned  Decision = "data_centre_returned"  // tasks are started again
+	runEndPrefix                 = "run_"                  // run_crashed, run_lost, run_lapsed, run_not_run: ends that we decide
+	reasonSealed                 = "sealed"                // stopped before it was seen to run, so it never will
+	reasonStopping               = "sealing"               // the stop is on its way
+	reasonSilent                 = "backend_silent"        // the backend server does not answer
+	reasonNoAnswer               = "no_answer"             // to one call
+	reasonRefused                = "connection_refused"    // nothing listens any more
+	reasonLifeOver               = "life_over"             // the backend server has another life now
+	reasonOvertaken              = "overtaken"             // a report that was sent later has come before
+	suffixAnnounced              = " announced"            // the backend server had said that it would leave
+	suffixUnanswered             = " start_unanswered"     // the run may have begun or not
 )
 
 // Note is a decision worth a line in the log.
--- a/jobs/runtable/lives.go
+++ b/jobs/runtable/lives.go
@@ -14,6 +14,9 @@
 type Report struct {
 	Identity
 	Number uint64 // rises with each report of a life; 0 where it has none
+	// Cold is how much longer the backend server is slow from its start, or from a time in
+	// which nothing was started there.
+	Cold time.Duration
 }
 
 // maxSuperseded is how many lives that are over are remembered. Chosen, not measured:
@@ -47,6 +50,7 @@
 		return
 	}
 	t.reportNumber = r.Number
+	t.coldUntil = now.Add(r.Cold)
 	t.Identify(now, r.Identity)
 }
 
@@ -86,6 +90,7 @@
 		c := t.takeCandidate(call.Instance)
 		t.Identify(now, c.Identity)
 		t.reportNumber = c.Number
+		t.coldUntil = now.Add(c.Cold)
 	case RenewWrongLife:
 		t.takeCandidate(call.Instance)
 		t.supersede(call.Instance)
--- a/jobs/runtable/outcomes.go
+++ b/jobs/runtable/outcomes.go
@@ -64,7 +64,7 @@
 // slowness returns so long a time as a multiple of the run's estimate; 1 if that is not
 // known.
 func (r *run) slowness(took time.Duration) float64 {
-	if r.order.EstimateMS <= 0 || r.started.IsZero() || r.needUnknown {
+	if r.order.EstimateMS <= 0 || r.started.IsZero() || r.needUnknown || r.cold {
 		return 1
 	}
 	return min(mostSlowness, float64(took.Milliseconds())/float64(r.order.EstimateMS))
--- a/jobs/runtable/owners.go
+++ b/jobs/runtable/owners.go
@@ -70,6 +70,7 @@
 		return
 	}
 	t.retireEarlier(o)
+	t.hearOwner(now, m.Evacuations)
 	o.heartbeatSeq = m.Seq
 	t.touch(name, o)
 	t.renewOwner(t.memberLease(name, o.member), m.Echo, t.cfg.BestEffortLease)
--- a/jobs/runtable/run.go
+++ b/jobs/runtable/run.go
@@ -30,6 +30,7 @@
 	stop        bool      // stop as soon as the start is answered
 	unanswered  bool      // an order had no answer: it may be carried out late
 	progress    progress  // what lists have said of it
+	cold        bool      // began while the backend server was cold: that it is slow says nothing
 	straggled   bool      // was stopped since it was over its limit
 	needUnknown bool      // was ordered by an earlier process, and its owner has not told its need
 }
@@ -42,8 +43,14 @@
 	return now.Sub(r.started).Milliseconds()
 }
 
-// limit returns how long the run may run; 0 when it has no limit.
-func (r *run) limit() time.Duration { return time.Duration(r.order.LimitMS) * time.Millisecond }
+// limit returns how long the run may run; 0 when it has no limit. At a cold backend server
+// there is none: it would be slow for the next run too.
+func (r *run) limit() time.Duration {
+	if r.cold {
+		return 0
+	}
+	return time.Duration(r.order.LimitMS) * time.Millisecond
+}
 
 // refs returns the runs here, in their order.
 func (t *Table) refs() []wire.RunRef { return ordered.KeysFunc(t.runs, compareRefs) }
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -16,11 +16,13 @@
 import (
 	"time"
 
+	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
 // Settings of a Table.
 type Settings struct {
+	DataCentre   string        // of this worker
 	Partitions   uint32        // of the job store
 	OwnerLease   time.Duration // how long a coordinator's heartbeat keeps its kept jobs' runs
 	BackendLease time.Duration // longest lease that the backend server grants
@@ -52,6 +54,7 @@
 	known    bool // identity holds a life
 	// reportNumber is that of the newest report of the life.
 	reportNumber uint64
+	coldUntil    time.Time     // the backend server is slow until then, by its own word
 	superseded   []string      // lives that are over, the latest last
 	candidates   []Report      // of lives that may be the present one, in the order in which they came
 	asking       string        // the candidate that is asked about; empty when none is
@@ -82,6 +85,10 @@
 	silent       bool          // the backend server does not answer
 	noRoomAt     time.Time     // when the backend server last had less room than we thought
 
+	evacuations routing.Evacuations // the newest word of them
+	evacuated   bool                // this data centre is among them
+	toldAt      time.Time           // when the store told the coordinator that knows latest
+
 	leases map[leaseKey]*ownerLease
 	owners map[string]*owner // by connection; those that were retired are not among them
 	// ownersUp counts the connections of owners so far.
@@ -119,6 +126,7 @@
 	return &Table{
 		cfg:      cfg,
 		began:    now,
+		toldAt:   now,
 		runs:     make(map[wire.RunRef]*run),
 		ends:     make(map[uint64]*end),
 		leases:   make(map[leaseKey]*ownerLease),
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -39,7 +39,7 @@
 
 func newFixture() *fixture {
 	f := &fixture{now: time.Unix(1000, 0), cfg: config.DefaultRuns()}
-	f.table = runtable.New(f.cfg.Core(), f.now)
+	f.table = runtable.New(f.cfg.Core("dc"), f.now)
 	return f
 }
 
@@ -434,7 +434,7 @@
 		f.take()
 		return f
 	}
-	silence := func(f *fixture) time.Duration { return f.cfg.Core().Silence }
+	silence := func(f *fixture) time.Duration { return f.cfg.Core("dc").Silence }
 
 	It("gets no new tasks", func() {
 		f := running()
--- a/jobs/runtable/silence.go
+++ b/jobs/runtable/silence.go
@@ -30,7 +30,7 @@
 	for _, ref := range t.refs() {
 		switch r := t.runs[ref]; r.state {
 		case runStarting:
-			t.sendStart(now, r)
+			t.repeatStart(now, r)
 		case runStopping:
 			t.sendStop(r)
 		}
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -51,6 +51,8 @@
 	switch {
 	case !t.valid(now, name, order, key):
 		return "no_lease"
+	case t.evacuated:
+		return "evacuated"
 	case !t.canStart():
 		return "not_ready"
 	case order.Crashes > 0 && t.suspects() > 0:
@@ -62,7 +64,7 @@
 }
 
 func (t *Table) canStart() bool {
-	return t.known && t.identity.Ready && t.synced && !t.lapsing && !t.silent
+	return t.known && t.identity.Ready && t.synced && !t.lapsing && !t.silent && !t.evacuated
 }
 
 func (t *Table) sendStart(now time.Time, r *run) {
@@ -89,6 +91,7 @@
 	case StartAccepted:
 		r.state = runRunning
 		r.started = now
+		r.cold = now.Before(t.coldUntil)
 		if r.stop {
 			t.sendStop(r)
 		}
@@ -115,12 +118,17 @@
 	}
 }
 
-// repeatStart repeats an order without an answer: the run number makes both one.
+// repeatStart repeats an order without an answer: the run number makes both one. In an
+// evacuated data centre the run is stopped instead.
 // A silent backend server gets it when it answers again.
 func (t *Table) repeatStart(now time.Time, r *run) {
 	if t.silent {
 		return
 	}
+	if t.evacuated {
+		t.sendStop(r)
+		return
+	}
 	t.noteFrequent(StartRepeated, r.order.Ref, reasonNoAnswer)
 	t.sendStart(now, r)
 }
--- a/jobs/scheduler/bench_test.go
+++ b/jobs/scheduler/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/jobs/durable"
+	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -24,6 +25,7 @@
 	cfg := config.DefaultScheduler()
 	core := scheduler.New(cfg.Core("nadi"), 1)
 	now := time.Unix(1000, 0)
+	core.Evacuate(now, routing.Evacuations{Offset: 1})
 	seen := make(map[string]uint64)
 	status := func(name string) {
 		core.Status(now, name, &wire.WorkerStatus{
@@ -70,6 +72,7 @@
 	cfg := config.DefaultScheduler()
 	core := scheduler.New(cfg.Core("nadi"), 1)
 	now := time.Unix(1000, 0)
+	core.Evacuate(now, routing.Evacuations{Offset: 1})
 	const workers = 960
 	for i := range workers {
 		name := fmt.Sprintf("w%d", i)
--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -8,26 +8,28 @@
 // The decisions of a coordinator's core. docs/OPERATIONS.md says what each means
 // on call.
 const (
-	CallFailed         Decision = "call_failed"         // a caller was told of a failure
-	JobKept            Decision = "job_kept"            // the store has it
-	JobRefused         Decision = "job_refused"         // on arrival: it would have waited too long
-	JobGivenUp         Decision = "job_given_up"        // it had not begun in time
-	RunOrdered         Decision = "run_ordered"         // sent to a worker
-	RunEnded           Decision = "run_ended"           // reported by its worker
-	RunAbsent          Decision = "run_absent"          // the worker does not know it: it never began
-	RunWrittenOff      Decision = "run_written_off"     // its worker is dead for certain
-	RunTakenOver       Decision = "run_taken_over"      // found at a worker, from an earlier owner
-	WorkerUp           Decision = "worker_up"           // connected
-	WorkerDown         Decision = "worker_down"         // its connection is lost
-	WorkerSilent       Decision = "worker_silent"       // its connection is given up
-	WorkerWrittenOff   Decision = "worker_written_off"  // it did not say what it runs of a partition, and is dead for certain
-	WorkerEjected      Decision = "worker_ejected"      // its runs are slow or fail: it gets probes alone
-	WorkerRestored     Decision = "worker_restored"     // no longer
-	PartitionAcquired  Decision = "partition_acquired"  // its jobs are ours
-	PartitionReleased  Decision = "partition_released"  // another owner has it, or will
-	PartitionSuspended Decision = "partition_suspended" // our lease on it may be over, or lasts again
-	RecordInvalid      Decision = "record_invalid"      // a fault of the program: it could not be encoded
-	jobPrefix                   = "job_"                // job_completed, job_failed, job_cancelled: decided; shown once stored
+	CallFailed          Decision = "call_failed"           // a caller was told of a failure
+	JobKept             Decision = "job_kept"              // the store has it
+	JobRefused          Decision = "job_refused"           // on arrival: it would have waited too long
+	JobGivenUp          Decision = "job_given_up"          // it had not begun in time
+	RunOrdered          Decision = "run_ordered"           // sent to a worker
+	RunEnded            Decision = "run_ended"             // reported by its worker
+	RunAbsent           Decision = "run_absent"            // the worker does not know it: it never began
+	RunWrittenOff       Decision = "run_written_off"       // its worker is dead for certain
+	RunTakenOver        Decision = "run_taken_over"        // found at a worker, from an earlier owner
+	WorkerUp            Decision = "worker_up"             // connected
+	WorkerDown          Decision = "worker_down"           // its connection is lost
+	WorkerSilent        Decision = "worker_silent"         // its connection is given up
+	WorkerWrittenOff    Decision = "worker_written_off"    // it did not say what it runs of a partition, and is dead for certain
+	WorkerEjected       Decision = "worker_ejected"        // its runs are slow or fail: it gets probes alone
+	WorkerRestored      Decision = "worker_restored"       // no longer
+	DataCentreEvacuated Decision = "data_centre_evacuated" // operators want no task started there
+	DataCentreReturned  Decision = "data_centre_returned"  // they take it back
+	PartitionAcquired   Decision = "partition_acquired"    // its jobs are ours
+	PartitionReleased   Decision = "partition_released"    // another owner has it, or will
+	PartitionSuspended  Decision = "partition_suspended"   // our lease on it may be over, or lasts again
+	RecordInvalid       Decision = "record_invalid"        // a fault of the program: it could not be encoded
+	jobPrefix                    = "job_"                  // job_completed, job_failed, job_cancelled: decided; shown once stored
 )
 
 // Measure names the figure of a Note, as the log shows it.
@@ -39,6 +41,7 @@
 	RunMS           Measure = "run_ms"           // how long the run took, by its worker
 	WaitMS          Measure = "wait_ms"          // how long the job would have waited; the limit is how long it may
 	SilentMS        Measure = "silent_ms"        // since the worker's last status
+	WorkersThere    Measure = "workers_there"    // connected workers in the data centre
 	RunsThere       Measure = "runs_there"       // runs of ours at the worker
 	SlownessPercent Measure = "slowness_percent" // of the estimates; the limit is where an outlier begins
 	FailingPercent  Measure = "failing_percent"  // of the latest runs
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -14,6 +14,9 @@
 
 // dispatch sends ready tasks to workers with room.
 func (c *Core) dispatch(now time.Time) {
+	if !c.evacuationsKnown() {
+		return
+	}
 	orders := make(map[*worker]*wire.StartRuns)
 	for _, service := range ordered.Keys(c.ready) {
 		q := c.ready[service]
--- a/jobs/scheduler/preference.go
+++ b/jobs/scheduler/preference.go
@@ -1,7 +1,5 @@
 package scheduler
 
-import "slices"
-
 // Preference says whether new tasks go to a worker.
 type Preference uint8
 
@@ -19,11 +17,6 @@
 	if w == nil || w.preference == p {
 		return
 	}
-	if w.preference == Excluded {
-		c.eligible = insertByName(c.eligible, w)
-	}
 	w.preference = p
-	if p == Excluded {
-		c.eligible = slices.DeleteFunc(c.eligible, func(o *worker) bool { return o == w })
-	}
+	c.updateEligible(w)
 }
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
+	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/lib/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -66,11 +67,14 @@
 	// Workers.
 	workers  map[string]*worker
 	order    []*worker          // all that are known, by name
-	eligible []*worker          // those that new tasks may go to, by name
+	eligible []*worker          // those that new tasks may go to (updateEligible), by name
 	sharers  map[string]float64 // coordinators that share each worker of a service, with this one
 	demands  map[string]*demand // by service
 	servedAt time.Time          // when there was last a worker that took tasks
 
+	evacuations   routing.Evacuations // where nothing may be started
+	evacuationsAt time.Time           // when the store last told of them; zero before it has
+
 	effects Effects
 }
 
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/jobs/durable"
+	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/lib/failure"
 	"github.com/lichenfall/lichenfall/wire"
@@ -39,6 +40,7 @@
 func newFixture() *fixture {
 	f := &fixture{cfg: config.DefaultScheduler(), now: time.Unix(1000, 0), starts: make(map[string]uint64), failing: make(map[string]uint32), slowness: make(map[string]uint32)}
 	f.core = scheduler.New(f.cfg.Core("nadi"), 1)
+	f.core.Evacuate(f.now, routing.Evacuations{Offset: 1})
 	return f
 }
 
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -57,7 +57,7 @@
 	w := &worker{name: name, assigned: make(map[*task]struct{})}
 	c.workers[name] = w
 	c.order = insertByName(c.order, w)
-	c.eligible = insertByName(c.eligible, w)
+	c.updateEligible(w)
 	for _, p := range ordered.Values(c.partitions) {
 		if _, asked := p.asked[name]; !asked && len(p.asked) > 0 {
 			p.asked[name] = now.Add(c.cfg.WriteOff)
@@ -71,6 +71,7 @@
 	w := c.workers[name]
 	w.up = true
 	w.dataCentre = dataCentre
+	c.updateEligible(w)
 	w.status = wire.WorkerStatus{}
 	w.identity = wire.BackendIdentity{}
 	w.heardAt = now
@@ -125,7 +126,7 @@
 	w.beatSeq++
 	w.beatAt = now
 	w.confirmed = w.confirmed || !c.confirmedAt.Before(w.upAt)
-	c.send(w.name, &wire.OwnerHeartbeat{Seq: w.beatSeq, Echo: w.status.Stamp, Partitions: c.Partitions(), Confirmed: w.confirmed})
+	c.send(w.name, &wire.OwnerHeartbeat{Seq: w.beatSeq, Echo: w.status.Stamp, Partitions: c.Partitions(), Confirmed: w.confirmed, Evacuations: c.evacuationsMessage(now)})
 }
 
 // tickWorkers sends heartbeats, gives up silent connections, and writes off what
--- a/jobs/store/store.go
+++ b/jobs/store/store.go
@@ -1,6 +1,6 @@
 // Package store says what the product needs of the log service that keeps its
 // state: partitions with fenced appends and the newest record of each key, a
-// group that deals the partitions out, and the operators' configuration.
+// group that deals the partitions out, and what operators put in force.
 // It does no I/O itself; adapters implement Store.
 package store
 
@@ -111,7 +111,8 @@
 	// Members calls f with the changes of the registered processes, first with
 	// all of them, until ctx ends.
 	Members(ctx context.Context, f func(joined []Member))
-	// Configurations calls f with each configuration that is put in force, first
-	// with the newest, until ctx ends.
-	Configurations(ctx context.Context, f func(*routing.Configuration))
+	// Operators calls f with what operators have put in force: first with all that stands,
+	// then after each reading that the store has answered, also if it brought nothing new,
+	// until ctx ends. At the end of an outage pause is the time between two tries.
+	Operators(ctx context.Context, pause time.Duration, f func(routing.News))
 }
--- a/jobs/subset/subset.go
+++ b/jobs/subset/subset.go
@@ -17,6 +17,9 @@
 	Address string
 	Service string // of its backend server; empty while it is not known
 	Lost    bool   // it cannot be reached at present
+	// Evacuated workers take no tasks, and keep their connections: their coordinators tell
+	// them when they may again.
+	Evacuated bool
 }
 
 // Settings bound how many workers one coordinator keeps connections to.
@@ -38,7 +41,7 @@
 // keeps connections to, and of each whether it is to be preferred. The
 // workers of a service form a ring in the order of the hashes of their
 // addresses; the coordinators divide it evenly, and each takes the workers from
-// its place on. Those up to the next coordinator's place are preferred. Lost ones
+// its place on. Those up to the next coordinator's place are preferred. Lost and evacuated ones
 // are taken beside those that count. So the connections of one process do not
 // grow with all processes, and no worker is left out as long as the coordinators
 // know of each other.
@@ -52,7 +55,7 @@
 		for i := 0; i < len(ring) && left > 0; i++ {
 			w := ring[(start+i)%len(ring)]
 			chosen[w.Address] = i < preferred
-			if !w.Lost {
+			if !w.Lost && !w.Evacuated {
 				left--
 			}
 		}
--- a/jobs/worker/perform.go
+++ b/jobs/worker/perform.go
@@ -14,6 +14,7 @@
 // perform does what the table has decided.
 func (w *Worker) perform(now time.Time) {
 	e := w.table.Take(now)
+	w.readOperators(now)
 	for _, s := range e.Sends {
 		w.send(s)
 	}
--- a/jobs/worker/worker.go
+++ b/jobs/worker/worker.go
@@ -52,6 +52,8 @@
 	// Owned by the control goroutine.
 	table  *runtable.Table
 	owners map[string]*peer.Conn
+	// stopReading ends the readings of the operators' records; nil while there are none.
+	stopReading context.CancelFunc
 
 	peers    *peer.Listener
 	halt     context.Context
@@ -108,7 +110,7 @@
 		metrics:  m,
 		loop:     loop.New[event](backlog),
 		name:     cfg.Box.Name + "/" + uuid.NewString(),
-		table:    runtable.New(cfg.Runs.Core(), steady.Now()),
+		table:    runtable.New(cfg.Runs.Core(cfg.Box.DataCentre), steady.Now()),
 		owners:   make(map[string]*peer.Conn),
 		renewNow: make(chan struct{}, 1),
 		register: make(chan *store.Backend, 1),
--- a/layout_test.go
+++ b/layout_test.go
@@ -28,8 +28,8 @@
 	"jobs/store":     {"jobs/durable", "jobs/routing"},
 	"jobs/ownership": {"jobs/store"},
 	"jobs/subset":    {},
-	"jobs/runtable":  {"jobs/durable", "lib/ordered", "wire"},
-	"jobs/scheduler": {"jobs/durable", "lib/failure", "lib/ordered", "wire"},
+	"jobs/runtable":  {"jobs/durable", "jobs/routing", "lib/ordered", "wire"},
+	"jobs/scheduler": {"jobs/durable", "jobs/routing", "lib/failure", "lib/ordered", "wire"},
 
 	"submissions/claim":      {"wire"},
 	"submissions/job":        {"submissions/claim", "lib/failure"},
@@ -90,7 +90,7 @@
 	"log-append", "log-read", "log-newest", "log-join", "log-leave", "private-key", "seq-no",
 	"run-start", "run-stop", "/v1/hold", "fencing-token", "deadline-ms", "last-seen", "clock-ms",
 	"Instances.Heartbeat", "Instances.Deregister", "X-Expected-Instance", "X-Instance-Id", "X-Time-Remaining",
-	"keyed.", "op/config", "path-prefix", "max-attempts", "target-latency-ms", "mem-mb", "estimate-ms",
+	"keyed.", "op/config", "evacuate/", "cold-remaining-ms", "path-prefix", "max-attempts", "target-latency-ms", "mem-mb", "estimate-ms",
 	"best-effort\"", "bind-addrs", "port-range", "node-name", "/v1/readiness",
 }
 
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -7,7 +7,7 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds TaskCrash CrashNews KeepAlive KeepAliveAck
+//msgp:tuple PartitionEpoch OwnerHeartbeat Evacuations BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds TaskCrash CrashNews KeepAlive KeepAliveAck
 //msgp:limit arrays:65536
 
 // PartitionEpoch says that the sender owns a partition, with the fencing epoch
@@ -30,6 +30,15 @@
 	// the heartbeat keeps what runs, and nothing may be ordered: a worker that has just
 	// begun knows of no later owner.
 	Confirmed bool
+	// Evacuations is what the sender knows of them; nil while it knows nothing.
+	Evacuations *Evacuations
+}
+
+// Evacuations are the data centres in which operators want no task started.
+type Evacuations struct {
+	Offset      uint64 // how far the operators' records had been read; a higher one is newer
+	AgeMS       uint32 // since the store last told the sender that nothing is newer
+	DataCentres []string
 }
 
 // BackendIdentity describes one life of a worker's backend server.
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -293,6 +293,77 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Evacuations) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Offset)
+	o = msgp.AppendUint32(o, z.AgeMS)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.DataCentres)))
+	for za0001 := range z.DataCentres {
+		o = msgp.AppendString(o, z.DataCentres[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Evacuations) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Offset, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	z.AgeMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMS")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentres")
+		return
+	}
+	if zb0002 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.DataCentres) >= int(zb0002) {
+		z.DataCentres = (z.DataCentres)[:zb0002]
+	} else {
+		z.DataCentres = make([]string, zb0002)
+	}
+	for za0001 := range z.DataCentres {
+		z.DataCentres[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "DataCentres", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Evacuations) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.ArrayHeaderSize
+	for za0001 := range z.DataCentres {
+		s += msgp.StringPrefixSize + len(z.DataCentres[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z HandOver) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -529,8 +600,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OwnerHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendInt64(o, z.Echo)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Partitions)))
@@ -541,6 +612,15 @@
 		o = msgp.AppendUint64(o, z.Partitions[za0001].Epoch)
 	}
 	o = msgp.AppendBool(o, z.Confirmed)
+	if z.Evacuations == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Evacuations.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Evacuations")
+			return
+		}
+	}
 	return
 }
 
@@ -552,8 +632,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -608,6 +688,22 @@
 		err = msgp.WrapError(err, "Confirmed")
 		return
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Evacuations = nil
+	} else {
+		if z.Evacuations == nil {
+			z.Evacuations = new(Evacuations)
+		}
+		bts, err = z.Evacuations.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Evacuations")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -615,6 +711,11 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OwnerHeartbeat) Msgsize() (s int) {
 	s = 1 + msgp.Uint64Size + msgp.Int64Size + msgp.ArrayHeaderSize + (len(z.Partitions) * (17 + msgp.Uint32Size + msgp.Uint64Size)) + msgp.BoolSize
+	if z.Evacuations == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Evacuations.Msgsize()
+	}
 	return
 }
 
