--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -32,6 +32,7 @@
 		Entry("a distribution that is not known", commands.ExitUsage, "load", "--fan-out", "zipf:1"),
 		Entry("nobody there", commands.ExitNoAnswer, "submit", "--entry", "http://127.0.0.1:9", "--timeout", "100ms"),
 		Entry("nobody there to ask for a state", commands.ExitNoAnswer, "status", "--entry", "http://127.0.0.1:9"),
+		Entry("no coordinator there to ask", commands.ExitNoAnswer, "status", "--coordinator", "http://127.0.0.1:9"),
 	)
 
 	It("has the pages under docs that it would write", func() {
--- a/commands/coordinator.go
+++ b/commands/coordinator.go
@@ -37,6 +37,12 @@
 	if err != nil {
 		return err
 	}
+	c.state.from(func() any {
+		if o, ok := k.Overview(); ok {
+			return o
+		}
+		return nil
+	})
 	ready, err := serveOn(cfg.Serving.Ready, platform.ReadyHandler(k), cfg.Serving.MaxConns)
 	if err != nil {
 		return err
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -5,8 +5,10 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 
+	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/config"
@@ -44,13 +46,32 @@
 	}
 }
 
-// operate serves the operators' endpoints of a daemon.
-func operate(listen string, reg *metrics.Registry, log *logging.Log) (*web.Server, error) {
+// operate serves the operators' endpoints of a daemon, and what it says of itself.
+func operate(listen string, reg *metrics.Registry, log *logging.Log, o *overview) (*web.Server, error) {
 	e := web.NewEcho()
 	web.Operate(e, reg.Handler, log.Level)
+	e.GET("/v1/state", o.serve)
 	return web.Listen(listen, e, web.DefaultLimits())
 }
 
+// overview is what a daemon says of itself to operators, once it has begun.
+type overview struct{ source atomic.Pointer[func() any] }
+
+// from sets the source of the overview; nil is what it gives after the daemon's end.
+func (o *overview) from(source func() any) { o.source.Store(&source) }
+
+func (o *overview) serve(c echo.Context) error {
+	source := o.source.Load()
+	if source == nil {
+		return c.String(http.StatusServiceUnavailable, "it has only begun, or has no state to show\n")
+	}
+	state := (*source)()
+	if state == nil {
+		return c.String(http.StatusServiceUnavailable, "it ends\n")
+	}
+	return c.JSON(http.StatusOK, state)
+}
+
 // signals is what the platform tells a daemon.
 type signals struct {
 	stop   chan os.Signal
--- a/commands/jobdaemon.go
+++ b/commands/jobdaemon.go
@@ -22,6 +22,7 @@
 	store   *platform.Store
 	admin   *web.Server
 	reg     *metrics.Registry
+	state   overview
 }
 
 // common are the sections that the settings of both roles have.
@@ -48,7 +49,7 @@
 	d.reg = metrics.New(role)
 	d.metrics = metrics.NewJobs(d.reg.Scope)
 	d.store = platform.NewStore(c.store.Address, d.report)
-	d.admin, err = operate(c.admin.Listen, d.reg, d.log)
+	d.admin, err = operate(c.admin.Listen, d.reg, d.log, &d.state)
 	return err
 }
 
--- a/jobs/local/cluster.go
+++ b/jobs/local/cluster.go
@@ -27,6 +27,7 @@
 type Options struct {
 	Coordinators int
 	Workers      int
+	DataCentres  []string      // of the workers, by turns; the default if empty
 	HTTP         string        // address of the first coordinator; empty means any port
 	Work         time.Duration // how long each task takes
 	Subset       config.Subset // workers of each coordinator; the defaults if zero
@@ -86,6 +87,9 @@
 func (c *Cluster) startWorker(i int) (*worker.Worker, error) {
 	cfg := config.DefaultWorker()
 	cfg.Box.Name = fmt.Sprintf("worker-%d", i)
+	if n := len(c.opts.DataCentres); n > 0 {
+		cfg.Box.DataCentre = c.opts.DataCentres[i%n]
+	}
 	cfg.Peers.Listen = ports.Any
 	w, err := worker.Start(cfg, c.Backends[i], c.Store, metrics.NewJobs(tally.NoopScope), c.opts.Log)
 	if err != nil {
--- a/jobs/scheduler/besteffort.go
+++ b/jobs/scheduler/besteffort.go
@@ -20,6 +20,7 @@
 		return
 	}
 	if c.full() {
+		c.noteRefusal(now, s.Queue.Name)
 		c.fail(call, s.ID, failure.Overloaded)
 		return
 	}
@@ -30,6 +31,7 @@
 		return
 	}
 	if wait, allowed, ok := c.admit(now, j); !ok {
+		c.noteRefusal(now, s.Queue.Name)
 		c.note(Note{What: JobRefused, Job: s.ID, Reason: "wait_too_long", Measure: WaitMS, Value: wait.Milliseconds(), Limit: allowed.Milliseconds()})
 		c.failUntil(call, s.ID, failure.Overloaded, wait-allowed)
 		return
--- a/jobs/scheduler/evacuations.go
+++ b/jobs/scheduler/evacuations.go
@@ -26,7 +26,7 @@
 	for _, w := range c.order {
 		c.updateEligible(w)
 	}
-	c.noteEvacuations(before)
+	c.noteEvacuations(now, before)
 	c.tellEvacuations(now)
 	if c.allEvacuated() {
 		c.refuseAll(now)
@@ -37,15 +37,17 @@
 // Evacuated returns whether nothing may be started in the data centre.
 func (c *Core) Evacuated(dataCentre string) bool { return c.evacuations.Has(dataCentre) }
 
-// noteEvacuations says for the log which data centres are evacuated or taken back.
-func (c *Core) noteEvacuations(before routing.Evacuations) {
+// noteEvacuations remembers and says for the log which data centres are evacuated or taken back.
+func (c *Core) noteEvacuations(now time.Time, before routing.Evacuations) {
 	for _, dataCentre := range c.evacuations.DataCentres {
 		if !before.Has(dataCentre) {
+			c.evacuatedAt[dataCentre] = now
 			c.note(Note{What: DataCentreEvacuated, Reason: dataCentre, Measure: WorkersThere, Value: c.workersIn(dataCentre)})
 		}
 	}
 	for _, dataCentre := range before.DataCentres {
 		if !c.evacuations.Has(dataCentre) {
+			delete(c.evacuatedAt, dataCentre)
 			c.note(Note{What: DataCentreReturned, Reason: dataCentre, Measure: WorkersThere, Value: c.workersIn(dataCentre)})
 		}
 	}
--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -47,6 +47,7 @@
 
 // refuseUnstarted refuses a job none of whose tasks has begun: it has not run.
 func (c *Core) refuseUnstarted(now time.Time, j *job) {
+	c.noteRefusal(now, j.sub.Queue.Name)
 	c.note(Note{What: JobGivenUp, Job: j.id, Measure: JobAgeMS, Value: j.age(now)})
 	for i := range j.tasks {
 		c.unqueue(&j.tasks[i])
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -72,8 +72,10 @@
 	demands  map[string]*demand // by service
 	servedAt time.Time          // when there was last a worker that took tasks
 
-	evacuations   routing.Evacuations // where nothing may be started
-	evacuationsAt time.Time           // when the store last told of them; zero before it has
+	evacuations   routing.Evacuations  // where nothing may be started
+	evacuationsAt time.Time            // when the store last told of them; zero before it has
+	evacuatedAt   map[string]time.Time // since when each is known
+	refusals      map[string]*refusals // of late, by queue
 
 	effects Effects
 }
@@ -81,18 +83,20 @@
 // New returns a core without partitions or workers.
 func New(cfg Settings, seed uint64) *Core {
 	return &Core{
-		cfg:        cfg,
-		random:     rand.New(rand.NewPCG(seed, 1)),
-		partitions: make(map[uint32]*partition),
-		bestEffort: make(map[durable.JobID]*job),
-		crashed:    make(map[durable.JobID]*crashMemory),
-		suspended:  make(map[*task]struct{}),
-		workers:    make(map[string]*worker),
-		ready:      make(map[string]*readyQueue),
-		callers:    make(map[Call]waitingCall),
-		watched:    make(map[*job]struct{}),
-		sharers:    make(map[string]float64),
-		demands:    make(map[string]*demand),
+		cfg:         cfg,
+		random:      rand.New(rand.NewPCG(seed, 1)),
+		partitions:  make(map[uint32]*partition),
+		bestEffort:  make(map[durable.JobID]*job),
+		crashed:     make(map[durable.JobID]*crashMemory),
+		suspended:   make(map[*task]struct{}),
+		workers:     make(map[string]*worker),
+		ready:       make(map[string]*readyQueue),
+		callers:     make(map[Call]waitingCall),
+		watched:     make(map[*job]struct{}),
+		sharers:     make(map[string]float64),
+		demands:     make(map[string]*demand),
+		evacuatedAt: make(map[string]time.Time),
+		refusals:    make(map[string]*refusals),
 	}
 }
 
