--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -50,6 +50,7 @@
 	writers     map[uint32]*writer            // of partitions that are ours
 	members     map[string]store.Member       // all that are registered, by address
 	links       map[string]*link              // to workers and other coordinators, by address
+	inbound     inboundConns                  // from other coordinators
 	remote      map[uint32]route              // partitions of other coordinators
 	heldBy      map[durable.JobID]string      // best-effort jobs that others have had for long, by address
 	calls       map[scheduler.Call]*call      // in our core
@@ -142,6 +143,7 @@
 		writers:     make(map[uint32]*writer),
 		members:     make(map[string]store.Member),
 		links:       make(map[string]*link),
+		inbound:     newInboundConns(),
 		remote:      make(map[uint32]route),
 		heldBy:      make(map[durable.JobID]string),
 		calls:       make(map[scheduler.Call]*call),
--- a/jobs/coordinator/links.go
+++ b/jobs/coordinator/links.go
@@ -103,6 +103,9 @@
 	if l := c.links[e.address]; !e.inbound && (l == nil || l.conn != e.conn) {
 		return
 	}
+	if e.inbound && !c.inbound.takes(e.conn, e.address) {
+		return
+	}
 	switch m := e.message.(type) {
 	case *wire.WorkerStatus:
 		c.core.Status(now, e.address, m)
@@ -139,17 +142,3 @@
 
 // Down is called when the connection is lost.
 func (o outbound) Down(conn *peer.Conn, err error) { o.c.loop.Post(linkDown{o.address, conn, err}) }
-
-// inbound posts what happens on connections that other coordinators keep to us.
-type inbound struct{ c *Coordinator }
-
-// Up is called when the connection is made.
-func (i inbound) Up(*peer.Conn, *wire.Hello) {}
-
-// Message is called for each message of the peer.
-func (i inbound) Message(conn *peer.Conn, m wire.Message) {
-	i.c.loop.Post(peerSaid{address: conn.Peer().Address, conn: conn, message: m, inbound: true})
-}
-
-// Down is called when the connection is lost.
-func (i inbound) Down(*peer.Conn, error) {}
