scheduler: give queues of the first priority a head start

Cause: a kind whose callers may wait least is refused first when not all fit, since its share of the slack is the smallest; priority was carried and acted on nowhere. Change: the head start alone.

--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -47,12 +47,13 @@
 
 // turn is the order of the tasks that are on time: what is left of jobs that
 // have begun first, in the order in which they came, then by the time halfway to
-// the due time, so that tight jobs go before loose ones of the same moment.
+// the due time, so that tight jobs go before loose ones of the same moment, with a head
+// start for queues of the first priority.
 func (t *task) turn() time.Time {
 	if t.job.begun() {
 		return t.job.received.Add(-begunFirst)
 	}
-	return t.job.received.Add(t.due.Sub(t.job.received) / 2)
+	return t.job.received.Add(t.due.Sub(t.job.received)/2 - t.job.headStart())
 }
 
 // begunFirst is taken off the turn of what is left of jobs that have begun; it
