--- a/jobs/runtable/evacuations.go
+++ b/jobs/runtable/evacuations.go
@@ -12,10 +12,10 @@
 // them once a second and more often, and the users allow 5 s in all.
 const unheardAfter = 2 * time.Second
 
-// HearEvacuations takes the data centres in which operators want no task started, as they
-// stood so long ago. The newest word counts, whoever has it; it stays in force however old
-// it gets: without one the worker would have to stop at each outage of the store.
-func (t *Table) HearEvacuations(now time.Time, e routing.Evacuations) {
+// HearEvacuations takes the data centres in which operators want no task started. The newest
+// word counts, whoever has it; it stays in force however old it gets: else the worker would
+// have to stop in each outage of the store.
+func (t *Table) HearEvacuations(_ time.Time, e routing.Evacuations) {
 	if e.Offset < t.evacuations.Offset {
 		return
 	}
