--- a/commands/coordinator.go
+++ b/commands/coordinator.go
@@ -61,7 +61,7 @@
 // not measured: the balancer takes up to 2 s to see that we are not ready.
 const (
 	drainPart  = 3 // fifths of it
-	drainWhole = 5
+	drainWhole = 5 // the others are for requests in flight
 )
 
 // stop makes a planned stop within the grace. The balancer needs to see that we
--- /dev/null
+++ b/jobs/promises/regressions_test.go
@@ -0,0 +1,24 @@
+package promises
+
+import (
+	"fmt"
+	"testing"
+)
+
+// failedSeed is a seed that failed once, with its cause.
+type failedSeed struct {
+	seed  uint64
+	cause string
+}
+
+// replay plays the seeds that failed once.
+func replay(t *testing.T, seeds []failedSeed, play func(seed uint64) *world) {
+	t.Helper()
+	for _, r := range seeds {
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
+			if w := play(r.seed); w.violation != "" {
+				t.Errorf("%s (then: %s)", w.violation, r.cause)
+			}
+		})
+	}
+}
--- a/jobs/scheduler/view.go
+++ b/jobs/scheduler/view.go
@@ -60,11 +60,11 @@
 	return out
 }
 
-// refusalSpan is over how long refusals are counted for operators, in steps of a tenth: what
-// goes wrong now, and not what went wrong today. Chosen, not measured.
+// Refusals are counted for operators over a while, in steps: what goes wrong now, and not
+// what went wrong today.
 const (
-	refusalSpan  = 10 * time.Second
-	refusalSteps = 10
+	refusalSpan  = 10 * time.Second // chosen, not measured
+	refusalSteps = 10               // of a second each, by which the count is too low at most
 )
 
 // refusals counts the calls of one queue that were refused lately.
--- a/scripts/pairs/draw.go
+++ b/scripts/pairs/draw.go
@@ -8,9 +8,9 @@
 
 // Sizes of the picture.
 const (
-	rowHeight = 0.28 * vg.Inch
-	margins   = 1.2 * vg.Inch
-	width     = 8 * vg.Inch
+	rowHeight = 0.28 * vg.Inch // of the picture; chosen
+	margins   = 1.2 * vg.Inch  // chosen
+	width     = 8 * vg.Inch    // chosen
 )
 
 // bars are the differences of one variant, one above the other.
