runtable, platform: know lives of backend servers by ID and birth

Cause: a backend server may start again under the ID that it had, with its counts and its clock anew. The ID alone named a life, so (by reading) reports of the new life counted as overtaken, ends of the new one were acknowledged unread, leases were reckoned on the old clock, and orders meant for the old life ran in the new one while their tasks were started elsewhere.

Ruled out: telling lives apart in the adapter alone by a composed name: whether an order that was on its way may have reached the successor is a decision of the core, which has to know that the ID is the same.

Change: Life is ID and birth, from the adapter to core, records and messages. A renewal that another birth answers is RenewReborn. Runs that no list of the old life has shown are stopped in the new one before their owner hears of an end. A fencing token above the one that an earlier process used by mistake is found by doubling. Identify asks the lists for the birth.

Late orders die with their life in the model, as a server that starts again holds nothing of before.

--- a/jobs/fakebackend/backend.go
+++ b/jobs/fakebackend/backend.go
@@ -116,7 +116,9 @@
 }
 
 // Identify implements worker.Backend.
-func (l *Backend) Identify(context.Context) (instance string, ok bool) { return l.instance, true }
+func (l *Backend) Identify(context.Context) (life runtable.Life, ok bool) {
+	return runtable.Life{Instance: l.instance}, true
+}
 
 func (l *Backend) clock() time.Duration { return time.Since(l.born) }
 
--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -95,11 +95,26 @@
 	b.reports++
 	return runtable.Report{
 		Number:   b.reports,
-		Identity: runtable.Identity{Instance: b.instance(name), Service: "s", Ready: true, Capacity: b.capacity},
+		Identity: runtable.Identity{Instance: b.instance(name), Born: b.bornAt(), Service: "s", Ready: true, Capacity: b.capacity},
 	}
 }
 
-func (b *backendNode) instance(name string) string { return fmt.Sprintf("%s/%d", name, b.life) }
+// instance returns the ID of its life, which later lives have again where the world's
+// servers keep theirs.
+func (b *backendNode) instance(name string) string {
+	if b.w.sameID {
+		return name
+	}
+	return fmt.Sprintf("%s/%d", name, b.life)
+}
+
+// bornAt returns when its life began, in milliseconds; 0 where servers do not tell.
+func (b *backendNode) bornAt() int64 {
+	if !b.w.sameID {
+		return 0
+	}
+	return b.born.UnixMilli()
+}
 
 // clock starts above zero, as that of a life that began some time ago.
 func (b *backendNode) clock() time.Duration {
@@ -207,6 +222,9 @@
 			return runtable.StartNoRoom
 		}
 	}
+	if c.Born != b.bornAt() {
+		b.w.counts["starts by a later life"]++
+	}
 	b.w.trace(name, c.Ref.Task.String(), "starts run %d", c.Ref.Run)
 	j.starting(b, c.Ref, c.Spec)
 	b.extend(c.Deadline)
@@ -288,7 +306,11 @@
 	if c.Instance != b.instance(name) {
 		return runtable.RenewAnswer{Result: runtable.RenewWrongLife}
 	}
+	another := c.Born != b.bornAt()
 	if c.Token < b.token {
+		if another {
+			return runtable.RenewAnswer{Result: runtable.RenewReborn}
+		}
 		return runtable.RenewAnswer{Result: runtable.RenewFenced, Clock: b.clock()}
 	}
 	b.token = c.Token
@@ -306,6 +328,10 @@
 		}
 	}
 	b.ended = left
+	if another {
+		b.w.counts["renewals at a later life"]++
+		return runtable.RenewAnswer{Result: runtable.RenewReborn}
+	}
 	a := runtable.RenewAnswer{Result: runtable.RenewOK, Clock: b.clock()}
 	for _, ref := range b.refs() {
 		a.Running = append(a.Running, runtable.ListedRun{Ref: ref, Percent: b.running[ref].percent(b.w.now)})
--- /dev/null
+++ b/jobs/promises/reborn_test.go
@@ -0,0 +1,81 @@
+package promises
+
+import (
+	"testing"
+	"time"
+)
+
+// What the cases with servers that keep their ID have beside the others.
+const (
+	rebirths    = 30
+	backSoon    = 5 * time.Millisecond // a restart that no call notices
+	backLate    = 600 * time.Millisecond
+	rebornJobs  = 120
+	rebornPause = 400 * time.Millisecond // of the worker over a restart
+)
+
+// TestReborn plays cases in which backend servers crash and start again under the ID that
+// they had, most of them so soon that orders meant for the life before reach the next one;
+// some behind the back of a worker that is paused meanwhile.
+func TestReborn(t *testing.T) {
+	t.Parallel()
+	cases := number("LICHENFALL_CASES", fewerCases)
+	seed := number("LICHENFALL_SEED", defaultSeed)
+	for _, kinds := range []int{0, allFaults} {
+		counts := make(map[string]int)
+		for i := range cases {
+			w := playReborn(seed+i, kinds)
+			if w.violation != "" {
+				t.Fatalf("seed %d with %d kinds of faults: %s", seed+i, kinds, w.violation)
+			}
+			for name, n := range w.counts {
+				counts[name] += n
+			}
+		}
+		t.Logf("%d kinds of faults: %d cases, %d renewals at a later life, %d starts by one", kinds, cases,
+			counts["renewals at a later life"], counts["starts by a later life"])
+		if counts["starts by a later life"] == 0 {
+			t.Fatal("no order reached a later life")
+		}
+	}
+}
+
+func playReborn(seed uint64, kinds int) *world {
+	w := newWorldWith(seed, func(w *world) { w.sameID = true })
+	for range rebirths {
+		w.after(warmUp+w.between(0, troubles), w.rebirth)
+	}
+	for n := range rebornJobs {
+		w.after(warmUp+w.between(0, troubles), newClientJob(w, jobsInCase+n, w.chance(0.8)).send)
+	}
+	w.play(kinds)
+	return w
+}
+
+// rebirth has one backend server crash and start again.
+func (w *world) rebirth() {
+	n := w.workers[w.random.IntN(len(w.workers))]
+	b := n.backend
+	if !b.up {
+		return
+	}
+	if n.alive && !n.paused && w.chance(0.3) {
+		n.pause()
+		life := n.life
+		w.after(rebornPause, func() {
+			if n.life == life && n.paused {
+				n.wake()
+			}
+		})
+	}
+	b.crash()
+	back := w.between(backSoon, backLate)
+	if w.chance(0.5) {
+		back = backSoon
+	}
+	w.after(back, func() {
+		if !b.up {
+			b.revive()
+		}
+	})
+}
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -113,8 +113,11 @@
 func (n *workerNode) order(carryOut func() runtable.RenewAnswer, answer func(runtable.RenewAnswer)) {
 	if n.w.chance(n.backend.lateBy) {
 		n.w.counts["late orders"]++
+		life := n.backend.life
 		n.w.after(n.w.between(time.Millisecond, 8*time.Second), func() {
-			if n.backend.up {
+			// A server that starts again holds nothing of the life before, orders that it
+			// had not carried out included.
+			if n.backend.up && n.backend.life == life {
 				carryOut()
 			}
 		})
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -37,6 +37,8 @@
 	unguarded bool
 	// silentCrashes are those of servers whose boxes go with them: calls get no answer.
 	silentCrashes bool
+	// sameID says that backend servers start again under the ID that they had.
+	sameID bool
 	// lateLinks have what a coordinator sent into a cut arrive when the cut has healed,
 	// although it has given the connection up and made another.
 	lateLinks bool
--- a/jobs/runtable/calls.go
+++ b/jobs/runtable/calls.go
@@ -31,7 +31,8 @@
 
 // StartCall is an order to start a run.
 type StartCall struct {
-	Instance   string
+	Instance   string // with Born, the life that is meant
+	Born       int64
 	Ref        wire.RunRef
 	Spec       string
 	Deadline   time.Duration // the lease's end on the backend server's clock
@@ -41,14 +42,16 @@
 
 // StopCall is an order to stop a run, or to see that it never starts.
 type StopCall struct {
-	Instance string
+	Instance string // with Born, the life that is meant
+	Born     int64
 	Ref      wire.RunRef
 	Token    uint64
 }
 
 // RenewCall renews the lease of all that runs and asks for news.
 type RenewCall struct {
-	Instance string
+	Instance string // with Born, the life that is meant
+	Born     int64
 	Seq      uint64        // rises with each call
 	Deadline time.Duration // the lease's end on the backend server's clock
 	Token    uint64
@@ -67,6 +70,9 @@
 	RenewOK
 	RenewFenced
 	RenewWrongLife
+	// RenewReborn is the answer of a later life that goes by the same ID: it may have
+	// carried out the call, and others that were meant for the life before.
+	RenewReborn
 	RenewDead // nothing listens there
 )
 
@@ -94,3 +100,12 @@
 	Running []ListedRun
 	Ended   []ListedEnd
 }
+
+// Life returns the life that the call is meant for.
+func (c *StartCall) Life() Life { return Life{c.Instance, c.Born} }
+
+// Life returns the life that the call is meant for.
+func (c *StopCall) Life() Life { return Life{c.Instance, c.Born} }
+
+// Life returns the life that the call is meant for.
+func (c *RenewCall) Life() Life { return Life{c.Instance, c.Born} }
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -30,12 +30,16 @@
 	running := make(map[wire.RunRef]bool, len(a.Running))
 	for _, l := range a.Running {
 		running[l.Ref] = true
+		if r := t.runs[l.Ref]; r != nil {
+			r.listed = true
+		}
 	}
 	for i := range a.Ended {
 		t.ended(now, &a.Ended[i])
 	}
 	if !t.synced {
 		t.adopt(now, a.Running)
+		t.stopInherited()
 		t.synced = true
 		t.syncedAt = now
 		t.reportAll(now)
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -2,15 +2,34 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
+// Life names one life of the backend server, from its start to its end.
+type Life struct {
+	// Instance is the ID that it goes by. A later life may have it again.
+	Instance string
+	// Born is when it started, in milliseconds since 1970 by its own word; 0 where backend
+	// servers do not tell, whose IDs never come back.
+	Born int64
+}
+
+// String returns a name that no other life has.
+func (l Life) String() string {
+	if l.Born == 0 {
+		return l.Instance
+	}
+	return l.Instance + "@" + strconv.FormatInt(l.Born, 10)
+}
+
 // Identity describes one life of the backend server.
 type Identity struct {
-	Instance string // changes with each life, and never comes back
+	Instance string // with Born, the life
+	Born     int64
 	Service  string
 	Ready    bool // neither draining nor leaving
 	Capacity durable.Resources
@@ -19,13 +38,16 @@
 
 // Same returns whether the two say the same.
 func (id *Identity) Same(o *Identity) bool {
-	return id.Instance == o.Instance && id.Service == o.Service && id.Ready == o.Ready &&
+	return id.Life() == o.Life() && id.Service == o.Service && id.Ready == o.Ready &&
 		id.Capacity == o.Capacity && slices.Equal(id.Labels, o.Labels)
 }
 
+// Life returns which life it is.
+func (id Identity) Life() Life { return Life{id.Instance, id.Born} }
+
 // message returns what coordinators are sent of it.
 func (id *Identity) message() *wire.BackendIdentity {
-	return &wire.BackendIdentity{Instance: id.Instance, Service: id.Service, Capacity: id.Capacity, Labels: id.Labels}
+	return &wire.BackendIdentity{Instance: id.Life().String(), Service: id.Service, Capacity: id.Capacity, Labels: id.Labels}
 }
 
 // Identity returns the life that the table speaks of.
@@ -34,11 +56,11 @@
 // Identify tells the table which life the backend server is in, by its own answer to
 // a question. A new life ends everything of the one before, which never comes back.
 func (t *Table) Identify(now time.Time, id Identity) {
-	if id.Instance != t.identity.Instance {
-		t.supersede(t.identity.Instance)
+	if id.Life() != t.identity.Life() {
+		t.supersede(t.identity.Life())
 		t.reportNumber = 0
 		if t.known {
-			t.lifeOver(now, "new_instance")
+			t.succeeded(now, id.Life(), "new_instance")
 		}
 	}
 	before, known := t.identity, t.known
--- a/jobs/runtable/lives.go
+++ b/jobs/runtable/lives.go
@@ -33,9 +33,9 @@
 // which the wire has held up, ends nothing of the living one.
 func (t *Table) Reported(now time.Time, r Report) {
 	switch {
-	case slices.Contains(t.superseded, r.Instance):
+	case slices.Contains(t.superseded, r.Life()):
 		t.noteFrequent(ReportLate, wire.RunRef{}, reasonLifeOver)
-	case t.known && r.Instance == t.identity.Instance:
+	case t.known && r.Life() == t.identity.Life():
 		t.reportedAgain(now, r)
 	default:
 		t.addCandidate(r)
@@ -57,7 +57,7 @@
 // addCandidate keeps the newest report of a life that is not known to live.
 func (t *Table) addCandidate(r Report) {
 	for i := range t.candidates {
-		if c := &t.candidates[i]; c.Instance == r.Instance {
+		if c := &t.candidates[i]; c.Life() == r.Life() {
 			if r.Number == 0 || r.Number > c.Number {
 				*c = r
 			}
@@ -70,41 +70,41 @@
 // askNext asks the backend server whether it is the first of the candidates. One
 // question is on its way at a time, so that answers come in the order of the questions.
 func (t *Table) askNext() {
-	if t.asking != "" || len(t.candidates) == 0 {
+	if t.asking != (Life{}) || len(t.candidates) == 0 {
 		return
 	}
-	t.asking = t.candidates[0].Instance
-	t.effects.Ask = &RenewCall{Instance: t.asking, Limit: t.cfg.CallLimit}
+	t.asking = t.candidates[0].Life()
+	t.effects.Ask = &RenewCall{Instance: t.asking.Instance, Born: t.asking.Born, Limit: t.cfg.CallLimit}
 }
 
 // Asked takes the answer to the question of Effects.Ask: a RenewCall without a token,
 // which renews nothing. It is answered, or refused for its token, by that life alone.
 func (t *Table) Asked(now time.Time, call RenewCall, result RenewResult) {
-	if call.Instance != t.asking {
+	if call.Life() != t.asking {
 		return
 	}
-	t.asking = ""
+	t.asking = Life{}
 	switch result {
 	case RenewUnanswered:
 	case RenewOK, RenewFenced:
-		c := t.takeCandidate(call.Instance)
+		c := t.takeCandidate(call.Life())
 		t.Identify(now, c.Identity)
 		t.reportNumber = c.Number
 		t.coldUntil = now.Add(c.Cold)
-	case RenewWrongLife:
-		t.takeCandidate(call.Instance)
-		t.supersede(call.Instance)
+	case RenewWrongLife, RenewReborn:
+		t.takeCandidate(call.Life())
+		t.supersede(call.Life())
 		t.note(ReportLate, wire.RunRef{}, reasonLifeOver)
 	case RenewDead:
 		// Whichever life it was, its next report asks again.
-		t.takeCandidate(call.Instance)
+		t.takeCandidate(call.Life())
 	}
 	t.askNext()
 }
 
 // takeCandidate removes the candidate and returns it.
-func (t *Table) takeCandidate(instance string) Report {
-	at := slices.IndexFunc(t.candidates, func(c Report) bool { return c.Instance == instance })
+func (t *Table) takeCandidate(life Life) Report {
+	at := slices.IndexFunc(t.candidates, func(c Report) bool { return c.Life() == life })
 	c := t.candidates[at]
 	t.candidates = slices.Delete(t.candidates, at, at+1)
 	return c
@@ -112,8 +112,8 @@
 
 // Deregistered takes the backend server's word that the life ends: it takes no more
 // tasks, and no report of it counts any more.
-func (t *Table) Deregistered(now time.Time, instance string) {
-	if !t.known || instance != t.identity.Instance {
+func (t *Table) Deregistered(now time.Time, life Life) {
+	if !t.known || life != t.identity.Life() {
 		t.noteFrequent(ReportLate, wire.RunRef{}, reasonLifeOver)
 		return
 	}
@@ -124,11 +124,11 @@
 }
 
 // supersede notes that the life is over for good.
-func (t *Table) supersede(instance string) {
-	if instance == "" || slices.Contains(t.superseded, instance) {
+func (t *Table) supersede(life Life) {
+	if life == (Life{}) || slices.Contains(t.superseded, life) {
 		return
 	}
-	t.superseded = append(t.superseded, instance)
+	t.superseded = append(t.superseded, life)
 	if len(t.superseded) > maxSuperseded {
 		t.superseded = t.superseded[1:]
 	}
--- a/jobs/runtable/lives_test.go
+++ b/jobs/runtable/lives_test.go
@@ -122,9 +122,9 @@
 
 	It("do not count after the life has said that it ends, but a late word of an earlier one does nothing", func() {
 		f := second()
-		f.table.Deregistered(f.now, "i-1")
+		f.table.Deregistered(f.now, runtable.Life{Instance: "i-1"})
 		Expect(f.table.Identity().Ready).To(BeTrue())
-		f.table.Deregistered(f.now, "i-2")
+		f.table.Deregistered(f.now, runtable.Life{Instance: "i-2"})
 		Expect(f.table.Identity().Ready).To(BeFalse())
 		f.table.Reported(f.now, report("i-2", 7))
 		Expect(f.table.Identity().Ready).To(BeFalse())
--- a/jobs/runtable/renew.go
+++ b/jobs/runtable/renew.go
@@ -12,7 +12,7 @@
 	}
 	t.renewSeq++
 	t.renewals[t.renewSeq] = false
-	call = RenewCall{Instance: t.identity.Instance, Seq: t.renewSeq, Token: t.token, LastSeen: t.acked, Patience: t.cfg.RenewPatience, Limit: t.renewLimit()}
+	call = RenewCall{Instance: t.identity.Instance, Born: t.identity.Born, Seq: t.renewSeq, Token: t.token, LastSeen: t.acked, Patience: t.cfg.RenewPatience, Limit: t.renewLimit()}
 	if t.token == 0 {
 		return call, true
 	}
@@ -59,7 +59,7 @@
 		return // it was answered in the same moment
 	}
 	t.renewals[call.Seq] = true
-	if call.Instance == t.identity.Instance && t.known {
+	if call.Life() == t.identity.Life() && t.known {
 		t.unanswered++
 	}
 }
@@ -69,7 +69,7 @@
 func (t *Table) RenewAnswered(now time.Time, call RenewCall, a RenewAnswer) {
 	overdue := t.renewals[call.Seq]
 	delete(t.renewals, call.Seq)
-	if call.Instance != t.identity.Instance || !t.known {
+	if call.Life() != t.identity.Life() || !t.known {
 		return
 	}
 	if a.Result != RenewUnanswered {
@@ -77,9 +77,11 @@
 	}
 	switch a.Result {
 	case RenewDead:
-		t.lifeOver(now, reasonRefused)
+		t.died(now, reasonRefused)
 	case RenewWrongLife:
 		t.lifeOver(now, "wrong_life")
+	case RenewReborn:
+		t.succeeded(now, Life{Instance: call.Instance}, "reborn")
 	case RenewUnanswered:
 		t.unansweredAt = now
 		if !overdue {
@@ -108,9 +110,11 @@
 }
 
 // newToken takes a fencing token above that of any earlier process here: the
-// backend server's clock, which all of them took theirs from.
+// backend server's clock, which all of them took theirs from. Where that is not enough, an
+// earlier process has called this life with the token of one before it, whose clock had run
+// longer: twice the last token is tried, so a clock of a day is passed in some 17 tries.
 func (t *Table) newToken() {
-	t.token = uint64(max(1, t.clock.Milliseconds()))
+	t.token = max(1, uint64(t.clock.Milliseconds()), 2*t.token)
 	t.effects.Renew = true
 }
 
--- a/jobs/runtable/run.go
+++ b/jobs/runtable/run.go
@@ -17,6 +17,7 @@
 	runRunning                   // the backend server has it
 	runStopping                  // a stop is on its way
 	runVerifying                 // stopped; the next list tells whether it ran
+	runInherited                 // ordered of a life that is over; the next one may have it
 )
 
 // run is one run of a task here.
@@ -33,6 +34,11 @@
 	cold        bool      // began while the backend server was cold: that it is slow says nothing
 	straggled   bool      // was stopped since it was over its limit
 	needUnknown bool      // was ordered by an earlier process, and its owner has not told its need
+	listed      bool      // the life in force has called it running
+	// lost is how it ended if the life in force never had it: it was ordered of an earlier
+	// life of the same ID. nil otherwise.
+	lost  *wire.RunEnd
+	until time.Time // when a runInherited has ended for certain
 }
 
 // age returns how long the run has been running, in milliseconds.
@@ -107,6 +113,7 @@
 			lease:       t.leaseOfListed(l.Ref),
 			state:       runRunning,
 			started:     now,
+			listed:      true,
 		}
 		t.note(RunAdopted, l.Ref, "")
 	}
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -25,7 +25,9 @@
 	DataCentre   string        // of this worker
 	Partitions   uint32        // of the job store
 	OwnerLease   time.Duration // how long a coordinator's heartbeat keeps its kept jobs' runs
-	BackendLease time.Duration // longest lease that the backend server grants
+	BackendLease time.Duration // the lease that the backend server is asked for
+	// BackendLeaseMost is the longest lease that it grants.
+	BackendLeaseMost time.Duration
 	// RenewWait is how long a renewal may wait at the backend server for news while
 	// something runs and calls go unanswered; CalmRenewWait, at any other time.
 	RenewWait     time.Duration
@@ -55,9 +57,9 @@
 	// reportNumber is that of the newest report of the life.
 	reportNumber uint64
 	coldUntil    time.Time     // the backend server is slow until then, by its own word
-	superseded   []string      // lives that are over, the latest last
+	superseded   []Life        // lives that are over, the latest last
 	candidates   []Report      // of lives that may be the present one, in the order in which they came
-	asking       string        // the candidate that is asked about; empty when none is
+	asking       Life          // the candidate that is asked about; empty when none is
 	token        uint64        // fencing token; 0 until the backend server's clock is known
 	clock        time.Duration // of the backend server, as of clockAt
 	clockAt      time.Time
@@ -153,6 +155,7 @@
 	t.checkSilence(now)
 	t.lapseSilent(now)
 	t.finishLapse(now)
+	t.endInherited(now)
 	t.stopUnansweredStarts(now)
 	t.stopStragglers(now)
 	t.forgetRecent(now)
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -70,6 +70,7 @@
 func (t *Table) sendStart(now time.Time, r *run) {
 	t.effects.Starts = append(t.effects.Starts, StartCall{
 		Instance:   t.identity.Instance,
+		Born:       t.identity.Born,
 		Ref:        r.order.Ref,
 		Spec:       r.order.Spec,
 		Deadline:   t.deadline(now),
@@ -84,7 +85,11 @@
 		t.unansweredAt = now
 	}
 	r := t.runs[call.Ref]
-	if r == nil || call.Instance != t.identity.Instance || r.state != runStarting {
+	if r != nil && r.state == runInherited {
+		t.inheritedAnswered(now, r, result)
+		return
+	}
+	if r == nil || call.Life() != t.identity.Life() || r.state != runStarting {
 		return
 	}
 	switch result {
@@ -100,7 +105,7 @@
 		t.repeatStart(now, r)
 	case StartDead:
 		t.neverSent(now, r)
-		t.lifeOver(now, reasonRefused)
+		t.died(now, reasonRefused)
 	case StartOld:
 		t.verify(r)
 	default:
--- a/jobs/runtable/stops.go
+++ b/jobs/runtable/stops.go
@@ -31,7 +31,7 @@
 
 func (t *Table) sendStop(r *run) {
 	r.state = runStopping
-	t.effects.Stops = append(t.effects.Stops, StopCall{Instance: t.identity.Instance, Ref: r.order.Ref, Token: t.token})
+	t.effects.Stops = append(t.effects.Stops, StopCall{Instance: t.identity.Instance, Born: t.identity.Born, Ref: r.order.Ref, Token: t.token})
 }
 
 // StopAnswered tells the table whether a StopCall was answered.
@@ -40,7 +40,7 @@
 		t.unansweredAt = now
 	}
 	r := t.runs[call.Ref]
-	if r == nil || call.Instance != t.identity.Instance || r.state != runStopping {
+	if r == nil || call.Life() != t.identity.Life() || r.state != runStopping {
 		return
 	}
 	if answered {
@@ -71,6 +71,10 @@
 			continue
 		}
 		delete(t.runs, ref)
+		if r.lost != nil {
+			t.endLost(now, r)
+			continue
+		}
 		t.endRun(now, r, wire.EndNotRun, reasonSealed)
 	}
 }
--- a/jobs/store/store.go
+++ b/jobs/store/store.go
@@ -78,7 +78,8 @@
 // Backend is what a worker last knew of its backend server, for the next
 // process at its address.
 type Backend struct {
-	Instance string
+	Instance string // with Born, the life
+	Born     int64  `json:",omitempty"` // milliseconds since 1970; 0 where backend servers do not tell
 	Service  string
 	Ready    bool
 	Capacity durable.Resources
@@ -86,7 +87,7 @@
 }
 
 func (b *Backend) same(o *Backend) bool {
-	return b.Instance == o.Instance && b.Service == o.Service && b.Ready == o.Ready &&
+	return b.Instance == o.Instance && b.Born == o.Born && b.Service == o.Service && b.Ready == o.Ready &&
 		b.Capacity == o.Capacity && slices.Equal(b.Labels, o.Labels)
 }
 
--- a/jobs/worker/events.go
+++ b/jobs/worker/events.go
@@ -69,11 +69,11 @@
 }
 
 // backendDeregistered is the word of a life of the backend server that it ends.
-type backendDeregistered struct{ instance string }
+type backendDeregistered struct{ life runtable.Life }
 
 func (e backendDeregistered) apply(w *Worker, now time.Time) {
-	w.log.Info("backend_deregistered", zap.String("instance", e.instance))
-	w.followIdentity(func() { w.table.Deregistered(now, e.instance) })
+	w.log.Info("backend_deregistered", zap.Stringer("instance", e.life))
+	w.followIdentity(func() { w.table.Deregistered(now, e.life) })
 }
 
 // backendAsked is the answer to the question whether the backend server is the life
@@ -94,7 +94,7 @@
 func (e backendFound) apply(w *Worker, now time.Time) {
 	known := w.table.Identity()
 	unknown := known.Instance == ""
-	onlyByName := known.Instance == e.identity.Instance && known.Service == ""
+	onlyByName := known.Life() == e.identity.Life() && known.Service == ""
 	if unknown || onlyByName {
 		w.followIdentity(func() { w.table.Identify(now, e.identity) })
 	}
@@ -109,7 +109,7 @@
 	if before.Same(&id) {
 		return
 	}
-	w.log.Info("backend_state", zap.String("instance", id.Instance), zap.Bool("ready", id.Ready), zap.Int64("cpu", id.Capacity.CPU))
+	w.log.Info("backend_state", zap.Stringer("instance", id.Life()), zap.Bool("ready", id.Ready), zap.Int64("cpu", id.Capacity.CPU))
 	if id.Service != "" {
 		// A successor of this process begins with what is registered: a capacity that has
 		// shrunk since would have it order beyond the room.
--- a/jobs/worker/registration.go
+++ b/jobs/worker/registration.go
@@ -22,11 +22,11 @@
 func (w *Worker) identify(k *registration.Keeper) {
 	for range identifyTries {
 		ctx, cancel := context.WithTimeout(w.halt, w.cfg.Runs.CallLimit.D())
-		instance, ok := w.backend.Identify(ctx)
+		life, ok := w.backend.Identify(ctx)
 		cancel()
 		if ok {
-			w.loop.Post(backendFound{runtable.Identity{Instance: instance}})
-			w.recall(k, instance)
+			w.loop.Post(backendFound{runtable.Identity{Instance: life.Instance, Born: life.Born}})
+			w.recall(k, life)
 			return
 		}
 		loop.Sleep(w.halt, identifyPause)
@@ -34,10 +34,14 @@
 }
 
 // recall uses what is registered of the life.
-func (w *Worker) recall(k *registration.Keeper, instance string) {
+func (w *Worker) recall(k *registration.Keeper, life runtable.Life) {
 	m, found, err := k.Recall(w.halt)
-	if err == nil && found && m.Backend != nil && m.Backend.Instance == instance {
-		w.loop.Post(backendFound{runtable.Identity(*m.Backend)})
+	if err != nil || !found || m.Backend == nil {
+		return
+	}
+	id := runtable.Identity(*m.Backend)
+	if id.Life() == life {
+		w.loop.Post(backendFound{id})
 	}
 }
 
