--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -38,13 +38,11 @@
 
 // membersChanged connects to processes that are new.
 func (c *Coordinator) membersChanged(now time.Time, members []store.Member) {
+	c.logNewMembers(members)
 	for _, m := range members {
 		if m.Address == c.peers.Advertised() {
 			continue
 		}
-		if _, known := c.members[m.Address]; !known {
-			c.log.Info("member_known", zap.String("address", m.Address), zap.String("role", string(m.Role)))
-		}
 		c.members[m.Address] = m
 		if m.Role == store.RoleWorker {
 			c.core.WorkerKnown(now, m.Address)
@@ -55,6 +53,28 @@
 	c.chooseWorkers(now)
 }
 
+// namedMembers is up to how many new processes of one reading are named in the log. Chosen,
+// not measured: at a start there are as many as boxes, and a line for each at each
+// coordinator would tell nothing that the store does not have.
+const namedMembers = 32
+
+// logNewMembers writes who is new: by address, or where there are many how many.
+func (c *Coordinator) logNewMembers(members []store.Member) {
+	var fresh []store.Member
+	for _, m := range members {
+		if _, known := c.members[m.Address]; !known && m.Address != c.peers.Advertised() {
+			fresh = append(fresh, m)
+		}
+	}
+	if len(fresh) > namedMembers {
+		c.log.Info("members_known", zap.Int("members", len(fresh)))
+		return
+	}
+	for _, m := range fresh {
+		c.log.Info("member_known", zap.String("address", m.Address), zap.String("role", string(m.Role)))
+	}
+}
+
 const (
 	// chooseEvery is how often the workers to connect to are chosen again; they are
 	// as soon as the registered processes change, too. Chosen, not measured.
