wire, room, speed: lay out the interfaces of the parts for hard load

Five parts are built beside one another, so what passes between them is agreed first.

Change: WorkerStatus tells the usual time of runs over their estimates (TimeFactor) beside how the latest compare with that (Slowness), and what work waits there for other coordinators (Waiting). RoomAsk tells a worker what waits for room; StartRuns and RoomAsk say which statuses were handled (Seen).

Nothing decides differently yet. The bytes of worker_status and start_runs change: meant.

--- a/config/runs.go
+++ b/config/runs.go
@@ -51,6 +51,7 @@
 	// FirstLease is how long a fresh process waits for the owners of what it adopted.
 	// Chosen, not measured: a heartbeat and some.
 	FirstLease Duration `json:"first_lease"`
+	Room       Room     `json:"room"`
 }
 
 // DefaultRuns returns the defaults of Runs.
@@ -69,6 +70,7 @@
 		StartLimit:      Duration(700 * time.Millisecond),
 		CallLimit:       Duration(60 * time.Millisecond),
 		FirstLease:      Duration(250 * time.Millisecond),
+		Room:            DefaultRoom(),
 	}
 }
 
@@ -87,6 +89,7 @@
 	c.span("runs.start_limit", r.StartLimit, Duration(10*time.Millisecond), 60*second)
 	c.span("runs.call_limit", r.CallLimit, Duration(10*time.Millisecond), r.BackendLease)
 	c.span("runs.first_lease", r.FirstLease, 0, r.OwnerLease)
+	r.Room.check(c)
 }
 
 // leaseAsked is the longest lease that is asked of a backend server. For as long nobody knows
@@ -115,5 +118,6 @@
 		Drift:            drift,
 		StartLimit:       r.StartLimit.D(),
 		FirstLease:       r.FirstLease.D(),
+		Room:             r.Room.Core(),
 	}
 }
--- a/config/scheduler.go
+++ b/config/scheduler.go
@@ -41,8 +41,9 @@
 	MaxJobs   int      `json:"max_jobs"`  // of one coordinator that have not ended; chosen, not measured
 	// A run is stopped as a straggler after so many times its estimate, and this much
 	// more. Chosen, not measured.
-	StragglerX   float64  `json:"straggler_x"`
-	StragglerMin Duration `json:"straggler_min"`
+	StragglerX   float64    `json:"straggler_x"`
+	StragglerMin Duration   `json:"straggler_min"`
+	Load         LoadPolicy `json:"load"`
 }
 
 // DefaultScheduler returns the defaults of Scheduler.
@@ -66,6 +67,7 @@
 		MaxJobs:         20000,
 		StragglerX:      3,
 		StragglerMin:    Duration(150 * time.Millisecond),
+		Load:            DefaultLoadPolicy(),
 	}
 }
 
@@ -103,6 +105,7 @@
 	between(c, "scheduler.max_batch", s.MaxBatch, 4096, 64<<20)
 	between(c, "scheduler.max_jobs", s.MaxJobs, 1, 10000000)
 	between(c, "scheduler.straggler_x", s.StragglerX, 1, 1000)
+	s.Load.check(c)
 	c.span("scheduler.straggler_min", s.StragglerMin, 0, 60*second)
 }
 
@@ -142,5 +145,6 @@
 		MaxJobs:            s.MaxJobs,
 		StragglerX:         s.StragglerX,
 		StragglerMin:       s.StragglerMin.D(),
+		Load:               s.Load.Core(),
 	}
 }
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"github.com/lichenfall/lichenfall/jobs/room"
 	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -45,6 +46,7 @@
 	// gone before the callers send the jobs again.
 	BestEffortLease time.Duration
 	StopGrace       time.Duration // from the end of an owner's lease: time to stop its runs one by one
+	Room            room.Settings // how free room is shared among coordinators that ask
 }
 
 // Table is the core of one worker.
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -44,6 +44,7 @@
 	MaxJobs            int           // jobs held at once, final ones apart
 	StragglerX         float64       // a run is stopped after so many times its estimate
 	StragglerMin       time.Duration // and this much more
+	Load               LoadPolicy
 }
 
 // Core is the core of one coordinator.
--- a/layout_test.go
+++ b/layout_test.go
@@ -28,7 +28,9 @@
 	"jobs/store":     {"jobs/durable", "jobs/routing"},
 	"jobs/ownership": {"jobs/store"},
 	"jobs/subset":    {},
-	"jobs/runtable":  {"jobs/durable", "jobs/routing", "lib/ordered", "wire"},
+	"jobs/speed":     {},
+	"jobs/room":      {"jobs/durable", "lib/ordered", "wire"},
+	"jobs/runtable":  {"jobs/durable", "jobs/room", "jobs/routing", "jobs/speed", "lib/ordered", "wire"},
 	"jobs/scheduler": {"jobs/durable", "jobs/routing", "lib/failure", "lib/ordered", "wire"},
 
 	"submissions/claim":      {"wire"},
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -7,7 +7,7 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat Evacuations BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds TaskCrash CrashNews KeepAlive KeepAliveAck RecordedBackend
+//msgp:tuple PartitionEpoch OwnerHeartbeat Evacuations BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds TaskCrash CrashNews KeepAlive KeepAliveAck RecordedBackend RoomAsk RoomWait WaitingWork
 //msgp:limit arrays:65536
 
 // PartitionEpoch says that the sender owns a partition, with the fencing epoch
@@ -57,10 +57,47 @@
 	StartSeq     uint64            // the newest StartRuns that was handled
 	Ready        bool              // takes new tasks
 	Free         durable.Resources // after what runs there; may be negative
-	Slowness     uint32            // time of its latest runs over their estimates, smoothed, in percent; 0 if not known
-	Failing      uint32            // share of its latest runs that failed, smoothed, in percent
-	Fenced       []uint32          // partitions of the receiver that another owner has claimed
-	Identity     *BackendIdentity  // nil while it is that of the last status on the connection
+	// TimeFactor is the usual time of runs there over their estimates, in percent: 160 on a
+	// slow server; 0 if not known.
+	TimeFactor uint32
+	// Slowness is the time of the latest runs over what is usual there, in percent; 0 if not
+	// known.
+	Slowness uint32
+	Failing  uint32           // share of its latest runs that failed, smoothed, in percent
+	Fenced   []uint32         // partitions of the receiver that another owner has claimed
+	Identity *BackendIdentity // nil while it is that of the last status on the connection
+	// Waiting is the work that waits here for room at other coordinators than the receiver,
+	// by priority; empty while nobody else asks.
+	Waiting []WaitingWork
+}
+
+// WaitingWork is the work of one priority that coordinators wait to start at a worker.
+type WaitingWork struct {
+	Priority int32 // of the queues; 0 comes first
+	// FirstMS and LastMS are the turns of the first and the last task, in milliseconds from
+	// the moment of sending; negative once they have passed.
+	FirstMS int64
+	LastMS  int64
+	// Work is the worker's share of the work that waits, by the estimates, in
+	// thousandths of a core times milliseconds.
+	Work int64
+}
+
+// RoomAsk tells a worker what waits for room at a coordinator, because it fits nowhere
+// now. It binds nobody: the worker tells the coordinator of free room in a status, in the
+// order of the turns of all who ask, and keeps that room for a moment (a grant). An ask
+// replaces the one before; one without Waits withdraws it.
+type RoomAsk struct {
+	Seq   uint64 // rises with each RoomAsk on a connection
+	Seen  int64  // the Stamp of the newest status that was handled: grants up to it are used as far as they can be
+	Waits []RoomWait
+}
+
+// RoomWait is what waits of one priority.
+type RoomWait struct {
+	WaitingWork
+	Need  durable.Resources // of the first task
+	Tasks uint32            // how many tasks wait
 }
 
 // RunRef names one run of a task.
@@ -147,6 +184,7 @@
 // StartRuns asks a worker to run tasks as soon as they fit.
 type StartRuns struct {
 	Seq  uint64 // rises with each StartRuns on a connection
+	Seen int64  // the Stamp of the newest status that was handled, as in RoomAsk
 	Runs []RunOrder
 }
 
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -1184,6 +1184,165 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RoomAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Seq)
+	o = msgp.AppendInt64(o, z.Seen)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Waits)))
+	for za0001 := range z.Waits {
+		// array header, size 3
+		o = append(o, 0x93)
+		o, err = z.Waits[za0001].WaitingWork.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0001, "WaitingWork")
+			return
+		}
+		o, err = z.Waits[za0001].Need.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0001, "Need")
+			return
+		}
+		o = msgp.AppendUint32(o, z.Waits[za0001].Tasks)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	z.Seen, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Waits")
+		return
+	}
+	if zb0002 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Waits) >= int(zb0002) {
+		z.Waits = (z.Waits)[:zb0002]
+	} else {
+		z.Waits = make([]RoomWait, zb0002)
+	}
+	for za0001 := range z.Waits {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		bts, err = z.Waits[za0001].WaitingWork.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0001, "WaitingWork")
+			return
+		}
+		bts, err = z.Waits[za0001].Need.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0001, "Need")
+			return
+		}
+		z.Waits[za0001].Tasks, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waits", za0001, "Tasks")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RoomAsk) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Waits {
+		s += 1 + z.Waits[za0001].WaitingWork.Msgsize() + z.Waits[za0001].Need.Msgsize() + msgp.Uint32Size
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RoomWait) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o, err = z.WaitingWork.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitingWork")
+		return
+	}
+	o, err = z.Need.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Need")
+		return
+	}
+	o = msgp.AppendUint32(o, z.Tasks)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = z.WaitingWork.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitingWork")
+		return
+	}
+	bts, err = z.Need.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Need")
+		return
+	}
+	z.Tasks, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tasks")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RoomWait) Msgsize() (s int) {
+	s = 1 + z.WaitingWork.Msgsize() + z.Need.Msgsize() + msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RunEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1718,9 +1877,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StartRuns) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Seq)
+	o = msgp.AppendInt64(o, z.Seen)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
 	for za0001 := range z.Runs {
 		o, err = z.Runs[za0001].MarshalMsg(o)
@@ -1740,8 +1900,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1749,6 +1909,11 @@
 		err = msgp.WrapError(err, "Seq")
 		return
 	}
+	z.Seen, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -1777,7 +1942,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StartRuns) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Int64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Runs {
 		s += z.Runs[za0001].Msgsize()
 	}
@@ -1929,11 +2094,65 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *WaitingWork) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt32(o, z.Priority)
+	o = msgp.AppendInt64(o, z.FirstMS)
+	o = msgp.AppendInt64(o, z.LastMS)
+	o = msgp.AppendInt64(o, z.Work)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WaitingWork) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Priority, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	z.FirstMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "FirstMS")
+		return
+	}
+	z.LastMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LastMS")
+		return
+	}
+	z.Work, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Work")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WaitingWork) Msgsize() (s int) {
+	s = 1 + msgp.Int32Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendInt64(o, z.Stamp)
 	o = msgp.AppendUint64(o, z.HeartbeatSeq)
 	o = msgp.AppendUint64(o, z.StartSeq)
@@ -1943,6 +2162,7 @@
 		err = msgp.WrapError(err, "Free")
 		return
 	}
+	o = msgp.AppendUint32(o, z.TimeFactor)
 	o = msgp.AppendUint32(o, z.Slowness)
 	o = msgp.AppendUint32(o, z.Failing)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Fenced)))
@@ -1958,6 +2178,14 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Waiting)))
+	for za0002 := range z.Waiting {
+		o, err = z.Waiting[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Waiting", za0002)
+			return
+		}
+	}
 	return
 }
 
@@ -1969,8 +2197,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Stamp, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1998,6 +2226,11 @@
 		err = msgp.WrapError(err, "Free")
 		return
 	}
+	z.TimeFactor, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TimeFactor")
+		return
+	}
 	z.Slowness, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Slowness")
@@ -2046,17 +2279,43 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Waiting")
+		return
+	}
+	if zb0003 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Waiting) >= int(zb0003) {
+		z.Waiting = (z.Waiting)[:zb0003]
+	} else {
+		z.Waiting = make([]WaitingWork, zb0003)
+	}
+	for za0002 := range z.Waiting {
+		bts, err = z.Waiting[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Waiting", za0002)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerStatus) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + z.Free.Msgsize() + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Fenced) * (msgp.Uint32Size))
+	s = 1 + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + z.Free.Msgsize() + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Fenced) * (msgp.Uint32Size))
 	if z.Identity == nil {
 		s += msgp.NilSize
 	} else {
 		s += z.Identity.Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Waiting {
+		s += z.Waiting[za0002].Msgsize()
+	}
 	return
 }
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -33,6 +33,7 @@
 	KindKeepAliveAck   Kind = 25
 	KindCrashNews      Kind = 26
 	KindRecorded       Kind = 27 // RecordedBackend
+	KindRoomAsk        Kind = 28
 )
 
 // kind is what a frame needs to know of a kind of message.
@@ -70,6 +71,7 @@
 	KindKeepAliveAck:   {"keep_alive_ack", func() Message { return &KeepAliveAck{} }},
 	KindCrashNews:      {"crash_news", func() Message { return &CrashNews{} }},
 	KindRecorded:       {"recorded_backend", func() Message { return &RecordedBackend{} }},
+	KindRoomAsk:        {"room_ask", func() Message { return &RoomAsk{} }},
 }
 
 // String returns the kind's name, as used in metric labels.
@@ -189,3 +191,6 @@
 
 // WireKind returns KindCrashNews.
 func (*CrashNews) WireKind() Kind { return KindCrashNews }
+
+// WireKind returns KindRoomAsk.
+func (*RoomAsk) WireKind() Kind { return KindRoomAsk }
