room: grant free room in the order of the turns of what waits

The table was a skeleton that told everybody of everything. Now what is free goes to the earliest turn over all owners that ask, one need at a time, and is kept from the others until the owner has seen the status that told of it, or Settings.Grant is over.

New beside the interface: Resize tells the whole room of the backend server, Took that orders have been taken (an order that was on its way uses the grant of its own sender), Events what is worth a line. Share without Resize passes nothing over.

--- a/jobs/room/room.go
+++ b/jobs/room/room.go
@@ -10,6 +10,7 @@
 package room
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
@@ -24,34 +25,136 @@
 
 // Table holds the asks and the grants of one worker.
 type Table struct {
-	cfg Settings
+	cfg    Settings
+	whole  durable.Resources // of the backend server
+	askers map[string]*asker // those that have asked, by the names of their connections
+	grants []*grant          // in the order in which they were made
+	kept   durable.Resources // for the first wait, until it fits
+	events []Event
 }
 
 // New returns a table without asks.
-func New(cfg Settings) *Table { return &Table{cfg: cfg} }
+func New(cfg Settings) *Table {
+	return &Table{cfg: cfg, askers: make(map[string]*asker)}
+}
 
-// Ask takes what waits at the owner, a coordinator by the name of its connection.
-func (t *Table) Ask(now time.Time, owner string, m *wire.RoomAsk) {}
+// Resize tells the table of the whole room of the backend server: what needs more is passed
+// over. Before the first it is not known, and nothing is passed over for it.
+func (t *Table) Resize(whole durable.Resources) { t.whole = whole }
 
 // Ordered takes the word that the owner has sent an order: it has used what it could of the
 // grants that statuses up to the stamp told it of.
-func (t *Table) Ordered(now time.Time, owner string, seen int64) {}
+func (t *Table) Ordered(now time.Time, owner string, seen int64) {
+	t.endGrants(func(g *grant) bool {
+		answered := g.owner == owner && g.stamp != 0 && g.stamp <= seen
+		if answered {
+			t.askers[owner].answered()
+			t.event(GrantAnswered, owner)
+		}
+		return answered
+	})
+}
+
+// Took takes the word that orders of the owner have been taken, which leaves what is free.
+// They may have been on their way when its grants were made: then they used those, and
+// nobody else's.
+func (t *Table) Took(owner string, free durable.Resources) {
+	t.shrink(free, func(g *grant) bool { return g.owner == owner })
+}
 
 // Gone forgets the owner's asks and grants: its connection is lost.
-func (t *Table) Gone(owner string) {}
+func (t *Table) Gone(owner string) {
+	t.endGrants(func(g *grant) bool { return g.owner == owner })
+	delete(t.askers, owner)
+}
 
 // Share grants what is free and not granted, in the order of the turns of what waits, and
 // ends what is over. It returns the owners to whom a new Free is to be told.
-func (t *Table) Share(now time.Time, free durable.Resources) []string { return nil }
+func (t *Table) Share(now time.Time, free durable.Resources) []string {
+	t.lapse(now)
+	t.dropAsks(now)
+	t.shrink(free, func(*grant) bool { return true })
+	t.kept = durable.Resources{}
+	if !t.Asked() {
+		return nil
+	}
+	rest := free.Sub(t.granted(""))
+	var told []string
+	passed := make(map[*wait]bool)
+	for w := t.first(now, passed); w != nil; w = t.first(now, passed) {
+		if w.need.Fits(rest) {
+			t.grant(now, w)
+			rest = rest.Sub(w.need)
+			told = append(told, w.owner)
+			continue
+		}
+		if len(passed) == 0 {
+			t.keep(now, w, rest)
+			rest = rest.Sub(t.kept)
+		}
+		passed[w] = true
+	}
+	slices.Sort(told)
+	return slices.Compact(told)
+}
 
-// Free returns what the owner may use of what is free: all but what is granted to others.
-func (t *Table) Free(owner string, free durable.Resources) durable.Resources { return free }
+// Free returns what the owner may use of what is free: all but what is granted to others,
+// and what is kept for what comes first.
+func (t *Table) Free(owner string, free durable.Resources) durable.Resources {
+	return free.Sub(t.granted(owner)).Sub(t.kept)
+}
 
 // Told notes that a status with the stamp tells the owner of what Free returns.
-func (t *Table) Told(now time.Time, owner string, stamp int64) {}
+func (t *Table) Told(now time.Time, owner string, stamp int64) {
+	for _, g := range t.grants {
+		if g.owner == owner && g.stamp == 0 {
+			g.stamp = stamp
+			g.until = now.Add(t.cfg.Grant)
+		}
+	}
+}
+
+// Asked returns whether anybody asks, or room is still granted.
+func (t *Table) Asked() bool {
+	if len(t.grants) > 0 {
+		return true
+	}
+	for _, a := range t.askers {
+		if len(a.waits) > 0 {
+			return true
+		}
+	}
+	return false
+}
 
 // Waiting returns the work that others than the owner wait to start here, by priority.
-func (t *Table) Waiting(now time.Time, owner string) []wire.WaitingWork { return nil }
+func (t *Table) Waiting(now time.Time, owner string) []wire.WaitingWork {
+	var rows []wire.WaitingWork
+	for name, a := range t.askers {
+		if name == owner {
+			continue
+		}
+		for _, w := range a.waits {
+			if w.left() > 0 {
+				rows = merge(rows, w.work(now))
+			}
+		}
+	}
+	slices.SortFunc(rows, func(a, b wire.WaitingWork) int { return int(a.Priority) - int(b.Priority) })
+	return rows
+}
 
-// Asked returns whether anybody asks.
-func (t *Table) Asked() bool { return false }
+// merge adds the work to the row of its priority.
+func merge(rows []wire.WaitingWork, work wire.WaitingWork) []wire.WaitingWork {
+	for i := range rows {
+		r := &rows[i]
+		if r.Priority != work.Priority {
+			continue
+		}
+		r.FirstMS = min(r.FirstMS, work.FirstMS)
+		r.LastMS = max(r.LastMS, work.LastMS)
+		r.Work += work.Work
+		return rows
+	}
+	return append(rows, work)
+}
