runtable: share a worker's room among the coordinators that ask

Each end was told to all coordinators, and the first order won the room. Now asks go to package room; Take shares what is free before it writes statuses, which carry what their receiver may use and what waits at others. Orders that would take room that is granted to others are handed back as granted. While somebody asks, an end is told to the run's owner and to whom room is granted; the rest hear at their next heartbeat, and all when nobody asks any more. Nothing is granted while the worker takes no tasks, or in the pause after the backend server had less room than was thought.

nobody-asks.golden is unchanged: without asks, the same messages in the same order.

--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -21,9 +21,15 @@
 	StragglerStopped    Decision = "straggler_stopped"     // it ran for longer than its limit
 	DataCentreEvacuated Decision = "data_centre_evacuated" // no task is started here
 	DataCentreReturned  Decision = "data_centre_returned"  // tasks are started again
+	RoomGranted         Decision = "room_granted"          // kept for a task of a coordinator that asked
+	RoomUsed            Decision = "room_used"             // it has ordered what it could of that, or said that it will not
+	RoomLapsed          Decision = "room_lapsed"           // it has not, in time
+	OwnerSetAside       Decision = "owner_set_aside"       // it let several lapse: it is granted none for a while
 	runEndPrefix                 = "run_"                  // run_crashed, run_lost, run_lapsed, run_not_run: ends that we decide
 	reasonSealed                 = "sealed"                // stopped before it was seen to run, so it never will
 	reasonStopping               = "sealing"               // the stop is on its way
+	reasonBusy                   = "busy"                  // it does not fit
+	reasonGranted                = "granted"               // it would, but the room is granted to others
 	reasonSilent                 = "backend_silent"        // the backend server does not answer
 	reasonNoAnswer               = "no_answer"             // to one call
 	reasonRefused                = "connection_refused"    // nothing listens any more
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -91,7 +91,7 @@
 	}
 	t.outcomes.ended(now, r, wire.End(e.report.How))
 	delete(t.runs, l.Ref)
-	t.touchOwners()
+	t.touchFreed()
 }
 
 // endRun tells the owner of an end that the backend server does not list.
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -98,7 +98,10 @@
 	// ownersUp counts the connections of owners so far.
 	ownersUp uint64
 	dirty    []string // owners that are to get a status
-	recent   map[wire.RunRef]recentEnd
+	room     *room.Table
+	// shared says that somebody asks for room, so that not all are told of what is free.
+	shared bool
+	recent map[wire.RunRef]recentEnd
 	// crashed holds the runs of kept jobs that were lost with crashed lives, until their
 	// owners have kept that.
 	crashed map[wire.RunRef]crashedRun
@@ -140,11 +143,13 @@
 		silenced: make(map[wire.RunRef]crashedRun),
 		renewals: make(map[uint64]bool),
 		outcomes: newOutcomes(),
+		room:     room.New(cfg.Room),
 	}
 }
 
 // Take returns what has to be done since the last call.
 func (t *Table) Take(now time.Time) Effects {
+	t.shareRoom(now)
 	t.sendStatuses(now)
 	e := t.effects
 	t.effects = Effects{}
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -19,9 +19,11 @@
 	}
 	o.startSeq = m.Seq
 	t.touch(name, o)
+	t.room.Ordered(now, name, m.Seen)
 	for i := range m.Runs {
 		t.order(now, name, &m.Runs[i])
 	}
+	t.room.Took(name, t.free())
 }
 
 // order takes one order, or hands it back at once: the coordinator may have room
@@ -58,7 +60,9 @@
 	case order.Crashes > 0 && t.suspects() > 0:
 		return "suspect_there"
 	case !order.Need.Fits(t.free()), now.Sub(t.noRoomAt) < noRoomPause:
-		return "busy"
+		return reasonBusy
+	case !order.Need.Fits(t.room.Free(name, t.free())):
+		return reasonGranted
 	}
 	return ""
 }
--- a/jobs/runtable/status.go
+++ b/jobs/runtable/status.go
@@ -41,12 +41,14 @@
 			continue // its connection is lost, or it is another one
 		}
 		o.dirty = false
-		t.send(name, t.status(now, o, &lately))
+		s := t.status(now, name, o, &lately)
+		t.room.Told(now, name, s.Stamp)
+		t.send(name, s)
 	}
 	t.dirty = t.dirty[:0]
 }
 
-func (t *Table) status(now time.Time, o *owner, lately *outcomes) *wire.WorkerStatus {
+func (t *Table) status(now time.Time, name string, o *owner, lately *outcomes) *wire.WorkerStatus {
 	const percent = 100 // of one, as messages carry shares
 	s := &wire.WorkerStatus{
 		Slowness:     uint32(percent * lately.slowness),
@@ -55,7 +57,8 @@
 		HeartbeatSeq: o.heartbeatSeq,
 		StartSeq:     o.startSeq,
 		Ready:        t.canStart(),
-		Free:         t.free(),
+		Free:         t.room.Free(name, t.free()),
+		Waiting:      t.room.Waiting(now, name),
 		Fenced:       o.fenced,
 	}
 	o.fenced = nil
--- a/jobs/worker/events.go
+++ b/jobs/worker/events.go
@@ -50,6 +50,8 @@
 		w.table.Heartbeat(now, from, m)
 	case *wire.StartRuns:
 		w.table.Start(now, from, m)
+	case *wire.RoomAsk:
+		w.table.Ask(now, from, m)
 	case *wire.StopRuns:
 		w.table.Stop(now, from, m)
 	case *wire.RunsQuery:
