--- a/jobs/room/asks.go
+++ b/jobs/room/asks.go
@@ -47,6 +47,7 @@
 // Ask takes what waits at the owner, a coordinator by the name of its connection.
 func (t *Table) Ask(now time.Time, owner string, m *wire.RoomAsk) {
 	t.Ordered(now, owner, m.Seen)
+	t.lapse(now)
 	a := t.askers[owner]
 	if a == nil {
 		a = &asker{}
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -19,6 +19,7 @@
 	}
 	o.startSeq = m.Seq
 	t.touch(name, o)
+	t.shareRoom(now) // what has come free in the same moment is not for who orders first
 	t.room.Ordered(now, name, m.Seen)
 	for i := range m.Runs {
 		t.order(now, name, &m.Runs[i])
