room: let an owner come last that does not use what it is granted

One that answers each grant and uses none, since its first task cannot start here, was granted the same room again at each round trip, and nobody else had any. Setting it aside by a count was tried first and dropped: a coordinator with few tasks that asks at many workers returns most grants rightly, and would have been barred for up to 1.6 s. Now it comes after all others for Settings.Grant after such an answer. One whose grants lapse comes last too, in place of getting none: where nobody else asks, there is nobody to keep the room for.

room_used is said when orders were taken of an owner that had grants. Took is called only then.

--- a/jobs/room/asks.go
+++ b/jobs/room/asks.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// mostWaits is how many waits of one ask are taken: queues have fewer priorities.
+	// mostWaits is how many waits of one ask are taken, and told of at once: queues have fewer priorities.
 	mostWaits = 8
 	// mostTasks is how many tasks of one wait are taken: more than start at a backend
 	// server before the ask is over.
@@ -25,7 +25,10 @@
 	waits    []*wait
 	lapses   int       // times in a row that it let grants lapse
 	lapsedAt time.Time // the last of them
-	setAside time.Time // until when it gets no grants
+	setAside time.Time // until when it comes after all others for that
+	// returned is until when it comes after all others since it answered a grant and no order
+	// of it has been taken since.
+	returned time.Time
 }
 
 // wait is what waits of one priority at an asker.
@@ -151,16 +154,19 @@
 }
 
 // first returns the wait that comes first of those that may be granted room, without those
-// that have been passed; nil if there is none.
+// that have been passed; nil if there is none. Owners that have not used what they were
+// granted come after all others for a while.
 func (t *Table) first(now time.Time, passed map[*wait]bool) *wait {
 	var first *wait
+	firstIsLast := false
 	for _, a := range t.askers {
-		if now.Before(a.setAside) {
-			continue
-		}
+		isLast := now.Before(a.setAside) || now.Before(a.returned)
 		for _, w := range a.waits {
-			if w.left() > 0 && !passed[w] && t.everFits(w) && (first == nil || w.before(first)) {
-				first = w
+			if w.left() == 0 || passed[w] || !t.everFits(w) {
+				continue
+			}
+			if first == nil || firstIsLast && !isLast || firstIsLast == isLast && w.before(first) {
+				first, firstIsLast = w, isLast
 			}
 		}
 	}
--- a/jobs/room/events.go
+++ b/jobs/room/events.go
@@ -6,9 +6,9 @@
 // The kinds of events.
 const (
 	Granted       EventKind = iota // room for one task was granted
-	GrantAnswered                  // the owner has used what it could of a grant
-	GrantLapsed                    // it did not answer in time
-	OwnerSetAside                  // it let several lapse, and gets none for a while
+	GrantUsed                      // orders were taken of an owner that had grants
+	GrantLapsed                    // the owner did not answer in time
+	OwnerSetAside                  // it let several lapse, and comes last for a while
 )
 
 // Event is something worth a line in the log.
--- a/jobs/room/grants.go
+++ b/jobs/room/grants.go
@@ -13,8 +13,8 @@
 	passOver = 100 * time.Millisecond
 	// mayLapse is how many times in a row an owner may let grants lapse.
 	mayLapse = 3
-	// setAsideLeast and setAsideMost are how long an owner gets no grants that lets them
-	// lapse: doubled each time. At the most it tries as often as callers do.
+	// setAsideLeast and setAsideMost are how long an owner comes last that lets them lapse:
+	// doubled each time. At the most it tries as often as callers do.
 	setAsideLeast = 100 * time.Millisecond
 	setAsideMost  = 1600 * time.Millisecond
 )
@@ -65,8 +65,8 @@
 }
 
 // lapsed takes the end of a grant that its owner has not answered. One that lets them lapse
-// several times is passed over for a while. What it was told of before the last time
-// counts as that time.
+// several times comes last for a while. What it was told of before the last time counts as
+// that time.
 func (t *Table) lapsed(now time.Time, g *grant) {
 	t.event(GrantLapsed, g.owner)
 	a := t.askers[g.owner]
@@ -75,14 +75,21 @@
 	}
 	a.lapsedAt = now
 	a.lapses++
-	if a.lapses < mayLapse {
-		return
+	if a.lapses >= mayLapse {
+		a.setAside = now.Add(setAsideFor(a.lapses - mayLapse))
+		t.event(OwnerSetAside, g.owner)
 	}
-	a.setAside = now.Add(setAsideFor(a.lapses - mayLapse))
-	t.event(OwnerSetAside, g.owner)
 }
 
-// setAsideFor returns for how long an owner gets no grants that was set aside so many times
+// answered takes the answer of an owner to grants. Unless orders of it are taken with that,
+// it comes last for a moment: its tasks have gone elsewhere, or cannot be started here, and
+// if it was granted the same room again and again, nobody else would have any.
+func (a *asker) answered(now time.Time, moment time.Duration) {
+	a.lapses = 0
+	a.returned = now.Add(moment)
+}
+
+// setAsideFor returns for how long an owner comes last that was set aside so many times
 // before.
 func setAsideFor(before int) time.Duration {
 	pause := setAsideLeast
@@ -92,9 +99,6 @@
 	return pause
 }
 
-// answered takes the answer of an owner to a grant.
-func (a *asker) answered() { a.lapses = 0 }
-
 // shrink ends grants until they fit what is free, those of the latest turns first, among
 // those that may be ended.
 func (t *Table) shrink(free durable.Resources, mayEnd func(g *grant) bool) {
--- a/jobs/room/load_test.go
+++ b/jobs/room/load_test.go
@@ -106,7 +106,6 @@
 		for _, turn := range m.turns {
 			l.order(c, turn)
 		}
-		l.table.Took(c.name, l.free)
 	}
 }
 
@@ -122,6 +121,7 @@
 	c.late = append(c.late, l.ms-turn)
 	l.free = l.free.Sub(cores(1))
 	l.ends = append(l.ends, l.ms+runTime)
+	l.table.Took(c.name, l.free)
 }
 
 // tell tells the coordinators to whom room is granted, or all that there is free room.
--- a/jobs/room/random_test.go
+++ b/jobs/room/random_test.go
@@ -42,8 +42,8 @@
 				f.table.Ordered(f.now, owner, f.stamp()-rapid.Int64Range(0, 20000).Draw(t, "seen"))
 				if need.Fits(f.table.Free(owner, f.free)) {
 					used, f.free = append(used, need), f.free.Sub(need)
+					f.table.Took(owner, f.free)
 				}
-				f.table.Took(owner, f.free)
 			case 2:
 				if len(used) > 0 {
 					f.free, used = f.free.Add(used[0]), used[1:]
--- a/jobs/room/room.go
+++ b/jobs/room/room.go
@@ -43,16 +43,13 @@
 func (t *Table) Resize(whole durable.Resources) { t.whole = whole }
 
 // Ordered takes the word that the owner has sent an order: it has used what it could of the
-// grants that statuses up to the stamp told it of.
+// grants that statuses up to the stamp told it of. Took follows if anything is taken.
 func (t *Table) Ordered(now time.Time, owner string, seen int64) {
-	t.endGrants(func(g *grant) bool {
-		answered := g.owner == owner && g.stamp != 0 && g.stamp <= seen
-		if answered {
-			t.askers[owner].answered()
-			t.event(GrantAnswered, owner)
-		}
-		return answered
-	})
+	before := len(t.grants)
+	t.endGrants(func(g *grant) bool { return g.owner == owner && g.stamp != 0 && g.stamp <= seen })
+	if len(t.grants) < before {
+		t.askers[owner].answered(now, t.cfg.Grant)
+	}
 }
 
 // Took takes the word that orders of the owner have been taken, which leaves what is free.
@@ -60,6 +57,10 @@
 // nobody else's.
 func (t *Table) Took(owner string, free durable.Resources) {
 	t.shrink(free, func(g *grant) bool { return g.owner == owner })
+	if a := t.askers[owner]; a != nil && !a.returned.IsZero() {
+		a.returned = time.Time{}
+		t.event(GrantUsed, owner)
+	}
 }
 
 // Gone forgets the owner's asks and grants: its connection is lost.
@@ -141,7 +142,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b wire.WaitingWork) int { return int(a.Priority) - int(b.Priority) })
-	return rows
+	return rows[:min(len(rows), mostWaits)]
 }
 
 // merge adds the work to the row of its priority.
--- a/jobs/room/room_test.go
+++ b/jobs/room/room_test.go
@@ -69,7 +69,7 @@
 
 func (f *fixture) pass(d time.Duration) { f.now = f.now.Add(d) }
 
-// use has the owner order tasks of so many cores with what it was told by now.
+// use has the owner order tasks of so many cores with what it was told by now; they are taken.
 func (f *fixture) use(owner string, n int64) {
 	f.seen[owner] = f.stamp()
 	f.table.Ordered(f.now, owner, f.seen[owner])
@@ -260,7 +260,7 @@
 		return told
 	}
 
-	It("is passed over for a while, each time for longer, until it answers in time", func() {
+	It("comes last for a while, each time for longer, until it answers in time", func() {
 		f := newFixture()
 		f.free = cores(2)
 		f.ask("a", waits(1, 2, -100, 0))
@@ -292,7 +292,7 @@
 		Expect(lapses(f)).To(Equal([]string{"b"}))
 	})
 
-	It("is not passed over for one pause, of whatever many grants", func() {
+	It("does not come last for one pause, of whatever many grants", func() {
 		f := newFixture()
 		f.ask("a", waits(10, 2, 0, 0))
 		f.share()
@@ -316,6 +316,37 @@
 	})
 })
 
+var _ = Describe("a coordinator that uses nothing of what it is granted", func() {
+	It("comes last for a moment, so that the room is not its own for ever", func() {
+		f := newFixture()
+		f.free = cores(2)
+		var granted []string
+		for range 20 {
+			f.ask("a", waits(9, 2, -100, 0))
+			f.ask("b", waits(9, 2, 500, 0))
+			told := f.share()
+			granted = append(granted, told...)
+			if told[0] == "b" {
+				f.use("b", 0)
+			}
+			f.seen[told[0]] = f.stamp()
+			f.pass(4 * time.Millisecond)
+		}
+		Expect(granted[:8]).To(Equal([]string{"a", "b", "b", "b", "b", "a", "b", "b"}))
+	})
+
+	It("is told of it still where nobody else asks", func() {
+		f := newFixture()
+		f.free = cores(2)
+		for range 20 {
+			f.ask("a", waits(1, 2, 0, 0))
+			Expect(f.share()).To(Equal([]string{"a"}))
+			f.seen["a"] = f.stamp()
+			f.pass(4 * time.Millisecond)
+		}
+	})
+})
+
 var _ = Describe("an ask", func() {
 	It("that comes twice changes nothing", func() {
 		f := newFixture()
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -22,9 +22,9 @@
 	DataCentreEvacuated Decision = "data_centre_evacuated" // no task is started here
 	DataCentreReturned  Decision = "data_centre_returned"  // tasks are started again
 	RoomGranted         Decision = "room_granted"          // kept for a task of a coordinator that asked
-	RoomUsed            Decision = "room_used"             // it has ordered what it could of that, or said that it will not
-	RoomLapsed          Decision = "room_lapsed"           // it has not, in time
-	OwnerSetAside       Decision = "owner_set_aside"       // it let several lapse: it is granted none for a while
+	RoomUsed            Decision = "room_used"             // orders of it were taken
+	RoomLapsed          Decision = "room_lapsed"           // it said nothing to that, in time
+	OwnerSetAside       Decision = "owner_set_aside"       // it said nothing several times, and comes last for a while
 	runEndPrefix                 = "run_"                  // run_crashed, run_lost, run_lapsed, run_not_run: ends that we decide
 	reasonSealed                 = "sealed"                // stopped before it was seen to run, so it never will
 	reasonStopping               = "sealing"               // the stop is on its way
--- a/jobs/runtable/shares.go
+++ b/jobs/runtable/shares.go
@@ -54,7 +54,7 @@
 // roomDecisions name the events of package room.
 var roomDecisions = [...]Decision{
 	room.Granted:       RoomGranted,
-	room.GrantAnswered: RoomUsed,
+	room.GrantUsed:     RoomUsed,
 	room.GrantLapsed:   RoomLapsed,
 	room.OwnerSetAside: OwnerSetAside,
 }
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -21,29 +21,33 @@
 	t.touch(name, o)
 	t.shareRoom(now) // what has come free in the same moment is not for who orders first
 	t.room.Ordered(now, name, m.Seen)
+	taken := false
 	for i := range m.Runs {
-		t.order(now, name, &m.Runs[i])
+		taken = t.order(now, name, &m.Runs[i]) || taken
+	}
+	if taken {
+		t.room.Took(name, t.free())
 	}
-	t.room.Took(name, t.free())
 }
 
 // order takes one order, or hands it back at once: the coordinator may have room
-// for it elsewhere.
-func (t *Table) order(now time.Time, name string, order *wire.RunOrder) {
+// for it elsewhere. It returns whether a run begins.
+func (t *Table) order(now time.Time, name string, order *wire.RunOrder) bool {
 	key := t.leaseOf(t.owners[name], order)
 	if r := t.runs[order.Ref]; r != nil {
 		// Sent again by another owner: it is the same run, and now the newer's.
 		r.lease = key
-		return
+		return false
 	}
 	if reason := t.refusal(now, name, order, key); reason != "" {
 		t.noteFrequent(RunRefused, order.Ref, reason)
 		t.sendEnd(name, wire.RunEnd{Ref: order.Ref, How: uint8(wire.EndNotRun), Reason: reason})
-		return
+		return false
 	}
 	r := &run{order: *order, lease: key, firstSent: now}
 	t.runs[order.Ref] = r
 	t.sendStart(now, r)
+	return true
 }
 
 // refusal returns why an order is handed back, or nothing if it is taken: it has to
