room: look at the waits twice for each grant

Each wait that did not fit was passed in turn, so sharing the room of one end among twelve coordinators of three priorities took 52.8 us (BenchmarkShare, one run). Now only the first of all is looked at, then the first that fits: 5.2 us. TestEvenness gives the same figures.

--- a/jobs/room/asks.go
+++ b/jobs/room/asks.go
@@ -153,16 +153,16 @@
 	return cmp.Or(w.turn().Compare(o.turn()), cmp.Compare(w.priority, o.priority), cmp.Compare(w.owner, o.owner), cmp.Compare(w.row, o.row)) < 0
 }
 
-// first returns the wait that comes first of those that may be granted room, without those
-// that have been passed; nil if there is none. Owners that have not used what they were
-// granted come after all others for a while.
-func (t *Table) first(now time.Time, passed map[*wait]bool) *wait {
+// first returns the wait that comes first of those that may be granted room, and nil if there
+// is none. Owners that have not used what they were granted come after all others for a
+// while.
+func (t *Table) first(now time.Time, may func(w *wait) bool) *wait {
 	var first *wait
 	firstIsLast := false
 	for _, a := range t.askers {
 		isLast := now.Before(a.setAside) || now.Before(a.returned)
 		for _, w := range a.waits {
-			if w.left() == 0 || passed[w] || !t.everFits(w) {
+			if w.left() <= 0 || !t.everFits(w) || !may(w) {
 				continue
 			}
 			if first == nil || firstIsLast && !isLast || firstIsLast == isLast && w.before(first) {
--- a/jobs/room/room.go
+++ b/jobs/room/room.go
@@ -81,24 +81,28 @@
 	}
 	rest := free.Sub(t.granted(""))
 	var told []string
-	passed := make(map[*wait]bool)
-	for w := t.first(now, passed); w != nil; w = t.first(now, passed) {
-		if w.need.Fits(rest) {
-			t.grant(now, w)
-			rest = rest.Sub(w.need)
-			told = append(told, w.owner)
-			continue
-		}
-		if len(passed) == 0 {
-			t.keep(now, w, rest)
-			rest = rest.Sub(t.kept)
-		}
-		passed[w] = true
+	for w := t.next(now, rest); w != nil; w = t.next(now, rest) {
+		t.grant(now, w)
+		rest = rest.Sub(w.need)
+		told = append(told, w.owner)
 	}
 	slices.Sort(told)
 	return slices.Compact(told)
 }
 
+// next returns the wait that is granted room next out of the rest: the first of all if it
+// fits, else the first of those that fit, out of what is not kept for that one; nil if there is
+// none.
+func (t *Table) next(now time.Time, rest durable.Resources) *wait {
+	first := t.first(now, func(*wait) bool { return true })
+	if first == nil || first.need.Fits(rest) {
+		return first
+	}
+	t.keep(now, first, rest)
+	rest = rest.Sub(t.kept)
+	return t.first(now, func(w *wait) bool { return w.need.Fits(rest) })
+}
+
 // Free returns what the owner may use of what is free: all but what is granted to others,
 // and what is kept for what comes first.
 func (t *Table) Free(owner string, free durable.Resources) durable.Resources {
