--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -253,6 +253,9 @@
 		n.table.Heartbeat(n.now(), c.name, m)
 	case *wire.StartRuns:
 		n.table.Start(n.now(), c.name, m)
+	case *wire.RoomAsk:
+		n.w.counts["asks for room"]++
+		n.table.Ask(n.now(), c.name, m)
 	case *wire.StopRuns:
 		n.table.Stop(n.now(), c.name, m)
 	case *wire.EndsKept:
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -7,7 +7,7 @@
 )
 
 // noRoomPause is how long orders are handed back after the backend server had less
-// room than we thought. Chosen, not measured.
+// room than we thought.
 const noRoomPause = 20 * time.Millisecond
 
 // Start takes the orders of a coordinator.
