runtable, room: name a worker's lines of grants apart from a coordinator's

A coordinator says room_used of what it does with a status; the worker said the same word of what orders it took. Its lines are grant_made, grant_used and grant_lapsed now. grant_used was also said of an order long after a grant that was answered and not used: no more.

--- a/jobs/room/room.go
+++ b/jobs/room/room.go
@@ -45,10 +45,17 @@
 // Ordered takes the word that the owner has sent an order: it has used what it could of the
 // grants that statuses up to the stamp told it of. Took follows if anything is taken.
 func (t *Table) Ordered(now time.Time, owner string, seen int64) {
+	a := t.askers[owner]
+	if a == nil {
+		return
+	}
+	if !now.Before(a.returned) {
+		a.returned = time.Time{}
+	}
 	before := len(t.grants)
 	t.endGrants(func(g *grant) bool { return g.owner == owner && g.stamp != 0 && g.stamp <= seen })
 	if len(t.grants) < before {
-		t.askers[owner].answered(now, t.cfg.Grant)
+		a.answered(now, t.cfg.Grant)
 	}
 }
 
--- a/jobs/room/room_test.go
+++ b/jobs/room/room_test.go
@@ -335,6 +335,16 @@
 		Expect(granted[:8]).To(Equal([]string{"a", "b", "b", "b", "b", "a", "b", "b"}))
 	})
 
+	It("is not said to have used it by an order that comes later", func() {
+		f := newFixture()
+		f.ask("a", waits(1, 2, 0, 0))
+		f.share()
+		f.table.Ordered(f.now, "a", f.stamp())
+		f.pass(f.cfg.Grant)
+		f.use("a", 2)
+		Expect(f.table.Events()).To(Equal([]room.Event{{What: room.Granted, Owner: "a"}}))
+	})
+
 	It("is told of it still where nobody else asks", func() {
 		f := newFixture()
 		f.free = cores(2)
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -21,9 +21,9 @@
 	StragglerStopped    Decision = "straggler_stopped"     // it ran for longer than its limit
 	DataCentreEvacuated Decision = "data_centre_evacuated" // no task is started here
 	DataCentreReturned  Decision = "data_centre_returned"  // tasks are started again
-	RoomGranted         Decision = "room_granted"          // kept for a task of a coordinator that asked
-	RoomUsed            Decision = "room_used"             // orders of it were taken
-	RoomLapsed          Decision = "room_lapsed"           // it said nothing to that, in time
+	GrantMade           Decision = "grant_made"            // kept for a task of a coordinator that asked
+	GrantUsed           Decision = "grant_used"            // orders of it were taken
+	GrantLapsed         Decision = "grant_lapsed"          // it said nothing to that, in time
 	OwnerSetAside       Decision = "owner_set_aside"       // it said nothing several times, and comes last for a while
 	runEndPrefix                 = "run_"                  // run_crashed, run_lost, run_lapsed, run_not_run: ends that we decide
 	reasonSealed                 = "sealed"                // stopped before it was seen to run, so it never will
--- a/jobs/runtable/shares.go
+++ b/jobs/runtable/shares.go
@@ -53,9 +53,9 @@
 
 // roomDecisions name the events of package room.
 var roomDecisions = [...]Decision{
-	room.Granted:       RoomGranted,
-	room.GrantUsed:     RoomUsed,
-	room.GrantLapsed:   RoomLapsed,
+	room.Granted:       GrantMade,
+	room.GrantUsed:     GrantUsed,
+	room.GrantLapsed:   GrantLapsed,
 	room.OwnerSetAside: OwnerSetAside,
 }
 
