scheduler: believe what workers say of their usual speed

A worker process that begins anew knows nothing for some runs: what was last heard of the same life stands until then. A life is instance and birth, so one that returns under its ID begins at 1.

No worker tells a time factor yet, so nothing is decided differently.

--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -27,6 +27,9 @@
 	queried    []queriedRun // asked about since the connection is new
 	outlier    bool         // its runs are slow or fail, by its status
 	probedAt   time.Time    // when it last got a task as an outlier
+	speed      knownSpeed   // the last that was heard of a life
+	// speedIgnored has the worker taken to be as fast as any other.
+	speedIgnored bool
 }
 
 // queriedRun is a run that a worker was asked about. By the time of the answer its task may
@@ -54,7 +57,7 @@
 	if c.workers[name] != nil {
 		return
 	}
-	w := &worker{name: name, assigned: make(map[*task]struct{})}
+	w := &worker{name: name, assigned: make(map[*task]struct{}), speedIgnored: !c.cfg.Load.PlaceBySpeed}
 	c.workers[name] = w
 	c.order = insertByName(c.order, w)
 	c.updateEligible(w)
@@ -107,6 +110,7 @@
 		w.identity = *m.Identity
 	}
 	w.status = *m
+	w.rememberSpeed()
 	w.heardAt = now
 	for _, number := range m.Fenced {
 		c.fenced(now, number)
