runtable: tell the usual speed of the backend server, and how it compares now

Cause: workers told one fast average, which coordinators could not tell from a slow machine.

Change: outcomes use speed.Meter, a new one with each life; WorkerStatus.TimeFactor and Slowness are filled. Runs without an estimate, of a cold server, adopted or inherited teach nothing; before, one without an estimate counted as exactly in time. Log: speed_known, speed_changed (over 10 %, every 10 s at most).

Proof: go test ./jobs/runtable.

--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -19,6 +19,8 @@
 	StartRepeated       Decision = "start_repeated"        // an order to the backend server had no answer
 	StartUnanswered     Decision = "start_unanswered"      // still none: the run number is stopped
 	StragglerStopped    Decision = "straggler_stopped"     // it ran for longer than its limit
+	SpeedKnown          Decision = "speed_known"           // the usual time of runs over their estimates, for the first time in this life
+	SpeedChanged        Decision = "speed_changed"         // the same; it is another now
 	DataCentreEvacuated Decision = "data_centre_evacuated" // no task is started here
 	DataCentreReturned  Decision = "data_centre_returned"  // tasks are started again
 	runEndPrefix                 = "run_"                  // run_crashed, run_lost, run_lapsed, run_not_run: ends that we decide
@@ -39,6 +41,9 @@
 	Ref    wire.RunRef // empty where it is about no single run
 	Reason string
 	Runs   int // how many runs went with it; 0 where it is about one or none
+	// Factor is the usual time of runs over their estimates, in percent, and FactorBefore what
+	// the log was told last; 0 where there is none.
+	Factor, FactorBefore uint32
 	// Frequent marks a decision of which there may be many a second in ordinary
 	// work, or in one trouble: such lines are sampled.
 	Frequent bool
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -90,6 +90,7 @@
 		e.report.How = uint8(wire.EndStraggled)
 	}
 	t.outcomes.ended(now, r, wire.End(e.report.How))
+	t.tellSpeed(now)
 	delete(t.runs, l.Ref)
 	t.touchOwners()
 }
--- a/jobs/runtable/outcomes.go
+++ b/jobs/runtable/outcomes.go
@@ -1,71 +1,66 @@
 package runtable
 
 import (
+	"math"
 	"time"
 
+	"github.com/lichenfall/lichenfall/jobs/speed"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// The weight of one more run in outcomes, and of one that took less than half of what was
-// thought: the backend server has recovered, and few runs come to say so while it gets
-// probes alone. Chosen, not measured.
-const (
-	smoothing  = 0.2 // share of the new run
-	recovering = 0.5 // the same
-)
+// smoothing is the weight of one more run in the share that failed.
+const smoothing = 0.2
 
-// outcomes is what the runs here were like lately, of all owners together: each owner
+// outcomes is what the runs of this life were like, of all owners together: each owner
 // alone would learn as many times more slowly as there are owners.
 type outcomes struct {
-	slowness float64 // smoothed: time of a run over its estimate
-	failing  float64 // smoothed: share of runs that failed
+	speed   *speed.Meter
+	failing float64 // smoothed: share of runs that failed
+	told    toldSpeed
 }
 
-func newOutcomes() outcomes { return outcomes{slowness: 1} }
+func newOutcomes() outcomes { return outcomes{speed: speed.New()} }
 
 // ended takes the end of a run.
 func (o *outcomes) ended(now time.Time, r *run, how wire.End) {
 	switch how {
 	case wire.EndDone:
-		o.ran(r.slowness(now.Sub(r.started)))
+		o.ran(now, r, now.Sub(r.started))
 		o.failing -= smoothing * o.failing
 	case wire.EndStraggled:
-		o.ran(r.slowness(r.expected(now)))
+		o.ran(now, r, r.expected(now))
 	case wire.EndFailed:
 		o.failing += smoothing * (1 - o.failing)
 	}
 }
 
-func (o *outcomes) ran(slowness float64) {
-	weight := smoothing
-	if slowness < o.slowness/2 {
-		weight = recovering
+// ran takes how long a run took, or would have.
+func (o *outcomes) ran(now time.Time, r *run, took time.Duration) {
+	if r.measured() {
+		o.speed.Ended(now, r.ratio(took))
 	}
-	o.slowness += weight * (slowness - o.slowness)
 }
 
-// outcomesNow returns the outcomes as if the runs had ended that take longer than most by
-// now, or will at their present pace: a backend server that has become slow, or does
-// nothing, is known before its runs end.
-func (t *Table) outcomesNow(now time.Time) outcomes {
-	o := t.outcomes
-	slower := func(r *run) bool { return r.state == runRunning && r.slowness(r.expected(now)) > t.outcomes.slowness }
-	for _, ref := range t.refsWhere(slower) {
+// slownessNow returns how the latest runs compare with what is usual here, with those that
+// go on: by their time until now, or at their present pace.
+func (t *Table) slownessNow(now time.Time) float64 {
+	var running []speed.Running
+	for _, ref := range t.refsWhere(func(r *run) bool { return r.state == runRunning && r.measured() }) {
 		r := t.runs[ref]
-		o.ran(r.slowness(r.expected(now)))
+		running = append(running, speed.Running{AtLeast: r.ratio(r.expected(now)), Before: r.before})
 	}
-	return o
+	return t.outcomes.speed.Slowness(running)
 }
 
-// mostSlowness bounds what one run can say: one that stands still would take for ever.
-// Chosen, not measured: it ejects at once and is forgotten in five sound runs.
-const mostSlowness = 20
+// measured returns whether the run's time says something of the speed of the life in force.
+func (r *run) measured() bool {
+	return r.order.EstimateMS > 0 && !r.started.IsZero() && !r.needUnknown && !r.cold && r.lost == nil
+}
 
-// slowness returns so long a time as a multiple of the run's estimate; 1 if that is not
-// known.
-func (r *run) slowness(took time.Duration) float64 {
-	if r.order.EstimateMS <= 0 || r.started.IsZero() || r.needUnknown || r.cold {
-		return 1
-	}
-	return min(mostSlowness, float64(took.Milliseconds())/float64(r.order.EstimateMS))
+// ratio returns so long a time as a multiple of the run's estimate.
+func (r *run) ratio(took time.Duration) float64 {
+	return took.Seconds() / r.estimate().Seconds()
 }
+
+// inPercent returns a share or factor as messages carry it.
+func inPercent(x float64) uint32 { return uint32(math.Round(100 * x)) }
--- a/jobs/runtable/run.go
+++ b/jobs/runtable/run.go
@@ -31,6 +31,7 @@
 	stop        bool      // stop as soon as the start is answered
 	unanswered  bool      // an order had no answer: it may be carried out late
 	progress    progress  // what lists have said of it
+	before      uint64    // how many runs had ended here when it was started (speed.Meter.Runs)
 	cold        bool      // began while the backend server was cold: that it is slow says nothing
 	straggled   bool      // was stopped since it was over its limit
 	needUnknown bool      // was ordered by an earlier process, and its owner has not told its need
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -96,6 +96,7 @@
 	case StartAccepted:
 		r.state = runRunning
 		r.started = now
+		r.before = t.outcomes.speed.Runs()
 		r.cold = now.Before(t.coldUntil)
 		if r.stop {
 			t.sendStop(r)
--- a/jobs/runtable/status.go
+++ b/jobs/runtable/status.go
@@ -34,23 +34,23 @@
 		return
 	}
 	slices.Sort(t.dirty)
-	lately := t.outcomesNow(now)
+	slowness := inPercent(t.slownessNow(now))
 	for _, name := range t.dirty {
 		o := t.owners[name]
 		if o == nil || !o.dirty {
 			continue // its connection is lost, or it is another one
 		}
 		o.dirty = false
-		t.send(name, t.status(now, o, &lately))
+		t.send(name, t.status(now, o, slowness))
 	}
 	t.dirty = t.dirty[:0]
 }
 
-func (t *Table) status(now time.Time, o *owner, lately *outcomes) *wire.WorkerStatus {
-	const percent = 100 // of one, as messages carry shares
+func (t *Table) status(now time.Time, o *owner, slowness uint32) *wire.WorkerStatus {
 	s := &wire.WorkerStatus{
-		Slowness:     uint32(percent * lately.slowness),
-		Failing:      uint32(percent * lately.failing),
+		TimeFactor:   inPercent(t.outcomes.speed.Factor()),
+		Slowness:     slowness,
+		Failing:      inPercent(t.outcomes.failing),
 		Stamp:        t.stamp(now),
 		HeartbeatSeq: o.heartbeatSeq,
 		StartSeq:     o.startSeq,
--- a/jobs/worker/perform.go
+++ b/jobs/worker/perform.go
@@ -60,6 +60,9 @@
 	if n.Runs > 0 {
 		fields = append(fields, zap.Int("runs", n.Runs))
 	}
+	if n.Factor > 0 {
+		fields = append(fields, zap.Uint32("time_factor_percent", n.Factor), zap.Uint32("before_percent", n.FactorBefore))
+	}
 	if n.Frequent {
 		w.log.Sampled(now, string(n.What), fields...)
 		return
