--- a/commands/status.go
+++ b/commands/status.go
@@ -100,8 +100,17 @@
 	for _, q := range o.Queues {
 		fmt.Fprintf(w, "%s\t%d\t%d\n", q.Queue, q.Waiting, q.Refused)
 	}
-	fmt.Fprintln(w, "\nWORKER\tDATA CENTRE\tCONNECTED\tREADY\tEVACUATED\tEJECTED\tFREE OF MILLI-CORES\tRUNS")
+	fmt.Fprintln(w, "\nWORKER\tDATA CENTRE\tCONNECTED\tREADY\tEVACUATED\tEJECTED\tTIME FACTOR\tSLOWNESS\tFREE OF MILLI-CORES\tRUNS")
 	for _, k := range o.Workers {
-		fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%t\t%t\t%d of %d\t%d\n", k.Address, k.DataCentre, k.Connected, k.Ready, k.Evacuated, k.Ejected, k.Free, k.Capacity, k.Runs)
+		fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%t\t%t\t%s\t%s\t%d of %d\t%d\n", k.Address, k.DataCentre, k.Connected, k.Ready, k.Evacuated, k.Ejected,
+			percent(k.TimeFactor), percent(k.Slowness), k.Free, k.Capacity, k.Runs)
 	}
 }
+
+// percent shows a figure in percent, of which 0 says that it is not known.
+func percent(x uint32) string {
+	if x == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d%%", x)
+}
--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -43,7 +43,7 @@
 	SilentMS        Measure = "silent_ms"        // since the worker's last status
 	WorkersThere    Measure = "workers_there"    // connected workers in the data centre
 	RunsThere       Measure = "runs_there"       // runs of ours at the worker
-	SlownessPercent Measure = "slowness_percent" // of the estimates; the limit is where an outlier begins
+	SlownessPercent Measure = "slowness_percent" // of what is usual there; the limit is where an outlier begins or ends
 	FailingPercent  Measure = "failing_percent"  // of the latest runs
 	OpenJobs        Measure = "open_jobs"        // jobs that are not final
 	PartitionNumber Measure = "partition"
--- a/jobs/scheduler/speed_test.go
+++ b/jobs/scheduler/speed_test.go
@@ -57,3 +57,13 @@
 		}
 	}
 }
+
+// TestSpeedIsShown holds what operators see of a worker's speed, also where it is not used.
+func TestSpeedIsShown(t *testing.T) {
+	for _, bySpeed := range []bool{true, false} {
+		c, _ := speedTold(bySpeed, "i", 160)
+		if v := c.Workers()[0]; v.TimeFactor != 160 || v.Slowness != 0 {
+			t.Errorf("by speed %t: time factor %d, slowness %d", bySpeed, v.TimeFactor, v.Slowness)
+		}
+	}
+}
--- a/jobs/scheduler/view.go
+++ b/jobs/scheduler/view.go
@@ -14,9 +14,13 @@
 	Ready      bool   `json:"ready"`     // takes tasks, by its own word
 	Evacuated  bool   `json:"evacuated"` // operators want no task started there
 	Ejected    bool   `json:"ejected"`   // its runs are slow or fail
-	Capacity   int64  `json:"capacity"`  // thousandths of a core
-	Free       int64  `json:"free"`      // the same; may be negative
-	Runs       int    `json:"runs"`      // of this coordinator, on their way or at work
+	// TimeFactor is the usual time of runs there over their estimates, and Slowness that of the
+	// latest over what is usual, both in percent and by its own word; 0 if not known.
+	TimeFactor uint32 `json:"time_factor"`
+	Slowness   uint32 `json:"slowness"`
+	Capacity   int64  `json:"capacity"` // thousandths of a core
+	Free       int64  `json:"free"`     // the same; may be negative
+	Runs       int    `json:"runs"`     // of this coordinator, on their way or at work
 }
 
 // Workers returns what is believed of all known workers, by address.
@@ -30,6 +34,8 @@
 			Ready:      w.up && w.status.Ready,
 			Evacuated:  c.Evacuated(w.dataCentre),
 			Ejected:    w.outlier,
+			TimeFactor: w.usualSpeed(),
+			Slowness:   w.status.Slowness,
 			Capacity:   w.identity.Capacity.CPU,
 			Free:       w.free().CPU,
 			Runs:       len(w.assigned),
