scheduler: place tasks by their expected end

Cause: servers of one service take 0.6 to 1.6 times the estimates, data away from its rack two or three times, and the choice of a worker knew neither: the first task in the queue took whatever was free, also where it was late.

Change: a fit reckons the time that a run takes there (estimate, time factor, remote factor, failures) against the time left; its risk of being late goes into the worth before rack, preference and room; speed is preferred while there is room, and left to what is tight when it is short. A task that would be late wherever there is room holds out for quicker places, for half of its slack at most. The longest of a job's tasks goes first. Limits follow the expected time; the estimate in an order knows of the distance, so that it makes no server look slow.

--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -16,19 +16,22 @@
 type candidate struct {
 	w       *worker
 	free    durable.Resources
+	factor  float64 // usual time of a run there over its estimate
+	heldFor float64 // work that holds out for it in this round, thousandths of a core times ms
 	ejected bool    // an outlier that gets no task now
 	jitter  float64 // share of the capacity by which the choice is left to chance
 }
 
 // candidates returns the workers of the service that take tasks.
 func (c *Core) candidates(now time.Time, service string) []candidate {
-	var out []candidate
-	var slow []float64
-	for _, w := range c.sample() {
+	sample := c.sample()
+	out := make([]candidate, 0, len(sample))
+	slow := make([]float64, 0, len(sample))
+	for _, w := range sample {
 		if !c.takesTasks(now, w) || w.identity.Service != service {
 			continue
 		}
-		out = append(out, candidate{w: w, free: w.free(), jitter: c.random.Float64() * maxJitter})
+		out = append(out, candidate{w: w, free: w.free(), factor: w.timeFactor(), jitter: c.random.Float64() * maxJitter})
 		slow = append(slow, w.slowness())
 	}
 	slices.Sort(slow)
--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -13,6 +13,7 @@
 	JobRefused          Decision = "job_refused"           // on arrival: it would have waited too long
 	JobGivenUp          Decision = "job_given_up"          // it had not begun in time
 	RunOrdered          Decision = "run_ordered"           // sent to a worker
+	TaskHeld            Decision = "task_held"             // it would be late where there is room, and waits for a quicker place
 	RunEnded            Decision = "run_ended"             // reported by its worker
 	RunAbsent           Decision = "run_absent"            // the worker does not know it: it never began
 	RunWrittenOff       Decision = "run_written_off"       // its worker is dead for certain
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -9,7 +9,7 @@
 )
 
 // lookAhead is how many tasks that fit nowhere are passed over before the rest of
-// the queue waits. Chosen, not measured.
+// the queue waits, and how many more may hold out for quicker places.
 const lookAhead = 24
 
 // dispatch sends ready tasks to workers with room.
@@ -24,8 +24,8 @@
 			continue
 		}
 		q.moveOverdue(now)
-		workers := c.candidates(now, service)
-		if !c.dispatchHeap(now, &q.onTime, workers, orders) || !c.dispatchHeap(now, &q.overdue, workers, orders) {
+		r := c.newRound(now, service)
+		if !c.dispatchHeap(now, &q.onTime, r, orders) || !c.dispatchHeap(now, &q.overdue, r, orders) {
 			c.demandOf(service).short(now)
 		}
 	}
@@ -39,8 +39,8 @@
 
 // dispatchHeap orders what it can of the heap, and returns whether nothing is
 // left that could have been ordered with more room.
-func (c *Core) dispatchHeap(now time.Time, q *taskHeap, workers []candidate, orders map[*worker]*wire.StartRuns) bool {
-	var passed []*task
+func (c *Core) dispatchHeap(now time.Time, q *taskHeap, r *round, orders map[*worker]*wire.StartRuns) bool {
+	var passed, held []*task
 	for q.Len() > 0 && len(passed) < lookAhead {
 		t := heap.Pop(q).(*task)
 		epoch, ok := c.epochOf(t.job)
@@ -48,13 +48,18 @@
 			passed = append(passed, t)
 			continue
 		}
-		cand := c.choose(t, workers)
-		if cand == nil {
+		f := c.fitOf(now, t, r)
+		cand := c.choose(&f, r.workers)
+		switch {
+		case cand == nil:
 			passed = append(passed, t)
-			continue
+		case len(held) < lookAhead && c.holdsOut(r, &f, cand):
+			held = append(held, t)
+		default:
+			c.orderRun(now, epoch, &f, cand, orders)
 		}
-		c.orderRun(now, epoch, t, cand, orders)
 	}
+	passed = append(passed, held...)
 	for _, t := range passed {
 		heap.Push(q, t)
 	}
@@ -75,8 +80,8 @@
 
 // orderRun adds a run of the task to the orders of the worker. One that is sent to a
 // worker with bad figures is its probe.
-func (c *Core) orderRun(now time.Time, epoch uint64, t *task, cand *candidate, orders map[*worker]*wire.StartRuns) {
-	w := cand.w
+func (c *Core) orderRun(now time.Time, epoch uint64, f *fit, cand *candidate, orders map[*worker]*wire.StartRuns) {
+	t, w := f.t, cand.w
 	cand.free = cand.free.Sub(t.step.Need)
 	if w.outlier {
 		w.probedAt = now
@@ -96,11 +101,11 @@
 		Spec:       t.job.sub.Spec,
 		Need:       t.step.Need,
 		Checkpoint: t.check,
-		EstimateMS: t.step.EstimateMS,
-		LimitMS:    c.limitOf(t).Milliseconds(),
+		EstimateMS: int64(f.estimateAt(w)),
+		LimitMS:    c.limitOf(f, cand).Milliseconds(),
 		Crashes:    uint32(len(t.crashes)),
 	})
-	c.note(Note{What: RunOrdered, Task: t.id.String(), Run: t.run, Worker: w.name, Measure: JobAgeMS, Value: t.job.age(now), Frequent: true})
+	c.note(Note{What: RunOrdered, Task: t.id.String(), Run: t.run, Worker: w.name, Reason: f.reason(cand), Measure: JobAgeMS, Value: t.job.age(now), Frequent: true})
 }
 
 // assign notes that the task is with the worker.
--- a/jobs/scheduler/overload_test.go
+++ b/jobs/scheduler/overload_test.go
@@ -28,14 +28,15 @@
 	perS     float64
 	width    uint32
 	work     time.Duration // of each task
+	rack     string        // of its data; empty if that makes no difference
 }
 
 // deskKinds are the kinds of the desk, the first of them urgent.
 func deskKinds(urgent int32) []kindOfJob {
 	return []kindOfJob{
-		{"match", urgent, 24, 8, 60 * time.Millisecond},
-		{"verify", 2, 9.4, 4, 900 * time.Millisecond},
-		{"hold", 1, 69, 2, 200 * time.Millisecond},
+		{name: "match", priority: urgent, perS: 24, width: 8, work: 60 * time.Millisecond},
+		{name: "verify", priority: 2, perS: 9.4, width: 4, work: 900 * time.Millisecond},
+		{name: "hold", priority: 1, perS: 69, width: 2, work: 200 * time.Millisecond},
 	}
 }
 
@@ -84,6 +85,7 @@
 	running   []loadRun
 	out       []outcome
 	evacuated string
+	unequal   *unequal // nil where all workers are alike
 }
 
 func newLoad(seed uint64, kinds []kindOfJob) *loadPlay {
@@ -112,8 +114,8 @@
 
 func (p *loadPlay) status(i int) {
 	p.core.Status(p.now, workerName(i), &wire.WorkerStatus{
-		Stamp: 1, Ready: dataCentreOf(i) != p.evacuated, StartSeq: p.seq[i], Free: durable.Resources{CPU: p.free[i], Memory: 1 << 20},
-		Identity: &wire.BackendIdentity{Instance: workerName(i), Service: "s", Capacity: durable.Resources{CPU: loadCapacity, Memory: 1 << 20}},
+		Stamp: 1, Ready: dataCentreOf(i) != p.evacuated, TimeFactor: uint32(100 * p.unequal.factor(i)), StartSeq: p.seq[i], Free: durable.Resources{CPU: p.free[i], Memory: 1 << 20},
+		Identity: &wire.BackendIdentity{Instance: workerName(i), Service: "s", Labels: []string{rackOf(i)}, Capacity: durable.Resources{CPU: loadCapacity, Memory: 1 << 20}},
 	})
 }
 
@@ -134,7 +136,7 @@
 		s := &durable.Submission{
 			ID: durable.JobID(fmt.Sprintf("%016x", p.next)), BestEffort: true,
 			Queue: durable.Queue{Name: k.name, Service: "s", Priority: k.priority, MaxAttempts: 3, Stretch: 1.6, TargetMS: 60},
-			Steps: []durable.Step{{Count: k.width, Need: durable.Resources{CPU: int64(p.around(3300)), Memory: 64}, EstimateMS: int64(p.around(float64(k.work.Milliseconds())))}},
+			Steps: []durable.Step{{Count: k.width, Need: durable.Resources{CPU: int64(p.around(3300)), Memory: 64}, EstimateMS: int64(p.around(float64(k.work.Milliseconds()))), Affinity: k.rack}},
 		}
 		due := p.now.Add(time.Duration(1.6*float64(k.work)) + 60*time.Millisecond)
 		p.jobs[p.next] = loadJob{i, due}
@@ -190,7 +192,7 @@
 			continue
 		}
 		p.free[i] -= order.Need.CPU
-		took := time.Duration(p.around(float64(order.EstimateMS)) * float64(time.Millisecond))
+		took := time.Duration(p.around(float64(order.EstimateMS)*p.slowdown(i, &order)) * float64(time.Millisecond))
 		p.running = append(p.running, loadRun{i, order, p.now.Add(took), p.now})
 	}
 	p.status(i)
--- a/jobs/scheduler/ready.go
+++ b/jobs/scheduler/ready.go
@@ -13,11 +13,20 @@
 
 func newReadyQueue() *readyQueue {
 	return &readyQueue{
-		onTime:  taskHeap{before: func(a, b *task) bool { return a.turn().Before(b.turn()) }},
+		onTime:  taskHeap{before: onTimeBefore},
 		overdue: taskHeap{before: overdueBefore},
 	}
 }
 
+// onTimeBefore goes by turn, and where that is the same, as for all that is left of a job that
+// has begun, puts that first after which the most work comes.
+func onTimeBefore(a, b *task) bool {
+	if d := a.turn().Compare(b.turn()); d != 0 {
+		return d < 0
+	}
+	return a.due.Before(b.due)
+}
+
 // overdueBefore puts jobs that have begun first: they hold work that is of no use
 // alone.
 func overdueBefore(a, b *task) bool {
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -35,6 +35,7 @@
 	worker    *worker   // while assigned
 	startSeq  uint64    // of the StartRuns that carried it
 	check     string    // checkpoint to resume from
+	held      bool      // has held out for a quicker place
 	due       time.Time // by when it has to begin for the job to be on time
 	heap      *taskHeap
 	position  int // in heap; -1 when it is in none
--- a/jobs/scheduler/worth_test.go
+++ b/jobs/scheduler/worth_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
 	"github.com/lichenfall/lichenfall/wire"
@@ -23,7 +24,8 @@
 		if !tk.mayGo(&a) || !tk.mayGo(&b) {
 			continue
 		}
-		if (c.worth(tk, &a) > c.worth(tk, &b)) != (byOrder(c, tk, &a, &b) > 0) {
+		f := c.fitOf(time.Time{}, tk, &round{})
+		if (c.worth(&f, &a) > c.worth(&f, &b)) != (byOrder(c, tk, &a, &b) > 0) {
 			others++
 		}
 	}
