runtable: let a straggler end of which little is left

Cause: a run over its limit, or that would be at its pace, was stopped whatever it had done: also one with a tenth left, where a start anew takes ten times that.

Change: a run over its limit is stopped where what is left of it, by its pace, takes longer than a start anew: 1.4 estimates and 50 ms. One that stands still, or tells no progress, is stopped as before.

Figures: a run of 200 ms by its estimate at seven times that is stopped within 160 ms; one with 90 % done after 630 ms and 160 ms left ends, and was stopped before (the spec fails without the change).

--- a/jobs/runtable/progress.go
+++ b/jobs/runtable/progress.go
@@ -13,14 +13,13 @@
 }
 
 // A pace is worked out over paceLeast, and over the paceShare of longer runs: the percent
-// is a whole number, and some of it is chance. Chosen, not measured.
+// is a whole number, and some of it is chance.
 const (
 	paceLeast = 60 * time.Millisecond // a short task
 	paceShare = 0.25                  // of the estimate
 )
 
-// standsStill is how long a run is expected to take that does not advance. Chosen: more
-// than any limit.
+// standsStill is how long a run is expected to take that does not advance: more than any limit.
 const standsStill = 24 * time.Hour
 
 // done is the percent of a run that has ended.
@@ -64,6 +63,27 @@
 	return max(now.Sub(r.started), r.progress.expected)
 }
 
+// left returns how long the run goes on, at its present pace. One that is over what was
+// expected is thought to take as long again as it is over; one of which no pace is known, for
+// ever.
+func (r *run) left(now time.Time) time.Duration {
+	if r.progress.expected == 0 {
+		return standsStill
+	}
+	return (r.progress.expected - now.Sub(r.started)).Abs()
+}
+
+// What a start anew takes beyond the estimate.
+const (
+	anewScatter = 1.4                   // times the estimate: runs scatter by so much
+	anewStart   = 50 * time.Millisecond // to stop, report, order and start
+)
+
+// anew returns how long the task would take if it were started elsewhere.
+func (r *run) anew() time.Duration {
+	return anewStart + time.Duration(anewScatter*float64(r.estimate()))
+}
+
 func (r *run) estimate() time.Duration { return time.Duration(r.order.EstimateMS) * time.Millisecond }
 
 // pace says for the log how long the run has taken, will take, and may take.
--- a/jobs/runtable/stops.go
+++ b/jobs/runtable/stops.go
@@ -80,14 +80,14 @@
 }
 
 // stopStragglers stops runs that are over their limit, or will be at their present pace,
-// so that they can be started elsewhere. The limit comes with the order and counts from the
+// and would end clearly sooner elsewhere. The limit comes with the order and counts from the
 // start. A backend server that turns slow or stands still is left so after one or two paces
 // and not when the limit has passed: a task of 200 ms after some 80 ms in place of 750.
 func (t *Table) stopStragglers(now time.Time) {
-	overLimit := func(r *run) bool {
-		return r.state == runRunning && r.limit() != 0 && r.expected(now) > r.limit()
+	straggles := func(r *run) bool {
+		return r.state == runRunning && r.limit() != 0 && r.expected(now) > r.limit() && r.left(now) > r.anew()
 	}
-	for _, ref := range t.refsWhere(overLimit) {
+	for _, ref := range t.refsWhere(straggles) {
 		r := t.runs[ref]
 		t.note(StragglerStopped, ref, r.pace(now))
 		r.straggled = true
--- /dev/null
+++ b/jobs/runtable/stragglers_test.go
@@ -0,0 +1,75 @@
+package runtable_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lichenfall/lichenfall/jobs/runtable"
+)
+
+// The pattern: runs of which one in some takes up to seven times its estimate.
+var _ = Describe("a run in the tail", func() {
+	const estimate = 200 // ms; its limit is 750
+	started := func() *fixture {
+		f := newFixture().ready()
+		f.estimate, f.limit = estimate, 750
+		f.order(7, ref(0, 1))
+		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
+		return f
+	}
+	// stopped plays a run of which percent tells how far it is, and returns after how many
+	// milliseconds it is stopped; 0 if it ends.
+	stopped := func(percent func(ms int) int) int {
+		f := started()
+		const list = 20 // between two lists of the backend server, ms
+		for ms := list; ms < 10*estimate; ms += list {
+			at := percent(ms)
+			if at >= 100 {
+				return 0
+			}
+			f.pass(list * time.Millisecond)
+			f.hold([]runtable.ListedRun{{Ref: ref(0, 1), Percent: at}})
+			f.heartbeat(7)
+			f.pass(0)
+			if len(f.out.Stops)+len(f.take().Stops) > 0 {
+				return ms
+			}
+		}
+		return 10 * estimate
+	}
+	steady := func(x float64) func(int) int {
+		return func(ms int) int { return int(100 * float64(ms) / (x * estimate)) }
+	}
+
+	It("is stopped early, at seven times its estimate", func() {
+		Expect(stopped(steady(7))).To(And(BeNumerically(">", 0), BeNumerically("<=", 160)))
+	})
+
+	It("ends that takes no more than its limit", func() {
+		Expect(stopped(steady(3.5))).To(BeZero())
+	})
+
+	It("ends that is over its limit and nearly done", func() {
+		Expect(stopped(func(ms int) int {
+			if ms <= 630 {
+				return ms / 7
+			}
+			return 90 + (ms-630)/16 // 790 ms in all
+		})).To(BeZero())
+	})
+
+	It("is stopped where it stands still, however far it has come", func() {
+		Expect(stopped(func(ms int) int { return min(95, ms/7) })).To(And(BeNumerically(">", 665), BeNumerically("<=", 850)))
+		Expect(stopped(func(ms int) int { return min(30, ms/5) })).To(And(BeNumerically(">", 150), BeNumerically("<=", 300)))
+	})
+
+	It("is stopped where it turns slow with much to do", func() {
+		Expect(stopped(func(ms int) int { return min(ms, 120)/4 + max(0, ms-120)/40 })).To(And(BeNumerically(">", 120), BeNumerically("<=", 300)))
+	})
+
+	It("is stopped at its limit where its progress is not told", func() {
+		Expect(stopped(func(int) int { return 0 })).To(BeNumerically("~", 750, 30))
+	})
+})
