scheduler: split the reckoning of a hold; ejected workers are no room

Cause: holdsOut did three things; room at workers that get probes alone counted for how much the fast are preferred.

Change: a function each for the quickest place and for the wait.

--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -8,8 +8,7 @@
 )
 
 // maxCandidates is how many workers are looked at in one round, so that a task
-// costs the same however many there are. Measured at 960 workers: 111.6 us a task
-// when all were looked at, 15.7 us with 64 (BenchmarkTask).
+// costs the same however many there are.
 const maxCandidates = 64
 
 // candidate is a worker with what we believe is free there.
--- a/jobs/scheduler/hold.go
+++ b/jobs/scheduler/hold.go
@@ -6,14 +6,13 @@
 // full: near its data, or a faster worker. So room that is of no use to it is left to what
 // comes after it and is in time there.
 const (
-	holdRisk  = 0.5 // the risk of being late that is worth a wait, and that the wait must undercut
+	holdRisk  = 0.5 // the risk of being late that is worth a wait; no more at the quicker place
 	quicker   = 0.8 // of what it takes where there is room: less is worth a wait
 	holdShare = 0.5 // of the slack that it has at the quicker places: the most that it may wait
 )
 
 // holdsOut returns whether the task waits for a quicker place although the best of those
-// with room would take it. What holds out for these places already, over our share of
-// their capacity, is how long it would wait.
+// with room would take it.
 func (c *Core) holdsOut(r *round, f *fit, best *candidate) bool {
 	if !f.bySpeed || f.risk(best) <= holdRisk {
 		return false
@@ -22,25 +21,40 @@
 	if len(places) == 0 {
 		return false
 	}
-	quickest, work, capacity := math.Inf(1), 0.0, 0.0
-	for _, cand := range places {
-		quickest = min(quickest, f.takes(cand))
-		work += cand.heldFor
-		capacity += float64(cand.w.identity.Capacity.CPU)
-	}
-	own := float64(f.t.step.Need.CPU) * quickest
-	wait := (work + own) * max(1, c.sharers[f.t.job.sub.Queue.Service]) / capacity
-	allowed := holdShare * (f.left - max(quickest, f.estimate))
+	takes := f.quickest(places)
+	work := float64(f.t.step.Need.CPU) * takes
+	wait := c.waitFor(f.t, places, work)
+	allowed := holdShare * (f.left - max(takes, f.estimate))
 	if wait > allowed {
 		return false
 	}
 	for _, cand := range places {
-		cand.heldFor += own / float64(len(places))
+		cand.heldFor += work / float64(len(places))
 	}
 	c.noteHeld(f.t, wait, allowed)
 	return true
 }
 
+// quickest returns the least that the task takes at one of the places.
+func (f *fit) quickest(places []*candidate) float64 {
+	least := math.Inf(1)
+	for _, cand := range places {
+		least = min(least, f.takes(cand))
+	}
+	return least
+}
+
+// waitFor returns how long the task waits for the places, in milliseconds: what holds out for
+// them already, and its own work, over our share of their capacity.
+func (c *Core) waitFor(t *task, places []*candidate, work float64) float64 {
+	capacity := 0.0
+	for _, cand := range places {
+		work += cand.heldFor
+		capacity += float64(cand.w.identity.Capacity.CPU)
+	}
+	return work * max(1, c.sharers[t.job.sub.Queue.Service]) / capacity
+}
+
 // quickerPlaces returns the workers without room for the task that may take it, and where it
 // ends clearly sooner than at the best with room, and in time.
 func (f *fit) quickerPlaces(workers []candidate, best *candidate) []*candidate {
--- a/jobs/scheduler/round.go
+++ b/jobs/scheduler/round.go
@@ -13,9 +13,9 @@
 	return &round{workers: workers, fast: preferFast(workers)}
 }
 
-// While more than ampleRoom of the cores is free, everybody gets the fastest; while less than
-// scarceRoom is, work that can wait for nothing else leaves them to what is tight. Between
-// them the preference turns by and by.
+// While more than ampleRoom of the cores is free everybody gets the fastest; while less than
+// scarceRoom is, what is surely in time on slow workers leaves the fast to what is tight.
+// Between them the preference turns by and by.
 const (
 	ampleRoom  = 0.3
 	scarceRoom = 0.1
@@ -25,6 +25,9 @@
 func preferFast(workers []candidate) float64 {
 	var free, capacity int64
 	for i := range workers {
+		if workers[i].ejected {
+			continue
+		}
 		free += max(0, workers[i].free.CPU)
 		capacity += workers[i].w.identity.Capacity.CPU
 	}
