--- a/jobs/scheduler/expected_test.go
+++ b/jobs/scheduler/expected_test.go
@@ -177,3 +177,35 @@
 		t.Errorf("tasks by their estimates went to %v", got)
 	}
 }
+
+// TestSaysWhatIsAgainstThePlace holds what the log says of a run that has no better place,
+// and that a task which holds out is noted once.
+func TestSaysWhatIsAgainstThePlace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := coreBySpeed(2)
+	for _, x := range []struct {
+		slack float64
+		at    candidate
+		want  string
+	}{
+		{2, placeOf(1.6, 16000, rack), ""},
+		{2, placeOf(1, 16000, "r2"), reasonFar},
+		{0.5, placeOf(1, 16000, "r2"), reasonLateFar},
+		{0.5, placeOf(1.6, 16000, rack), reasonLateSlow},
+	} {
+		f := c.fitOf(now, taskOf(now, 100, rack, x.slack), &round{})
+		if got := f.reason(&x.at); got != x.want {
+			t.Errorf("%q in place of %q", got, x.want)
+		}
+	}
+	r := &round{workers: []candidate{placeOf(1, 0, rack), placeOf(1, 16000, "r2")}}
+	f := c.fitOf(now, taskOf(now, 100, rack, 0.5), r)
+	for range 2 {
+		if !c.holdsOut(r, &f, &r.workers[1]) {
+			t.Fatal("goes far")
+		}
+	}
+	if notes := c.effects.Notes; len(notes) != 1 || notes[0].What != TaskHeld || notes[0].Reason != rack {
+		t.Errorf("notes: %+v", notes)
+	}
+}
