--- a/jobs/local/evacuation_test.go
+++ b/jobs/local/evacuation_test.go
@@ -65,8 +65,10 @@
 
 		s.Store.Evacuate()
 		s.submit(0, jobOf(40, true, 4))
+		n := 40
 		Eventually(func() int {
-			s.submit(0, jobOf(41+s.startsAt(0), true, 8))
+			n++
+			s.submit(n%2, jobOf(n, true, 8)) // each coordinator prefers another worker
 			return s.startsAt(0)
 		}).WithTimeout(patience).Should(BeNumerically(">", before))
 	})
