scheduler: ask workers for room for what fits nowhere

Cause: orders race for free room, and most of them come back when not all fits.

It asks again while it waits, withdraws when nothing does, and answers at once a status with room of which it uses nothing. StartRuns and RoomAsk say which status was handled. When all fits nothing is sent. Statuses with room are heeded as before: Free is what we may use.

--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -23,6 +23,10 @@
 	WorkerWrittenOff    Decision = "worker_written_off"    // it did not say what it runs of a partition, and is dead for certain
 	WorkerEjected       Decision = "worker_ejected"        // its runs are slow or fail: it gets probes alone
 	WorkerRestored      Decision = "worker_restored"       // no longer
+	RoomAsked           Decision = "room_asked"            // workers were told what waits here for room
+	RoomWithdrawn       Decision = "room_withdrawn"        // nothing waits any more
+	RoomUsed            Decision = "room_used"             // a worker that was asked told of room, and got an order
+	RoomUnused          Decision = "room_unused"           // it got none: nothing here fits there now
 	DataCentreEvacuated Decision = "data_centre_evacuated" // operators want no task started there
 	DataCentreReturned  Decision = "data_centre_returned"  // they take it back
 	PartitionAcquired   Decision = "partition_acquired"    // its jobs are ours
@@ -41,6 +45,7 @@
 	RunMS           Measure = "run_ms"           // how long the run took, by its worker
 	WaitMS          Measure = "wait_ms"          // how long the job would have waited; the limit is how long it may
 	SilentMS        Measure = "silent_ms"        // since the worker's last status
+	WorkersAsked    Measure = "workers_asked"    // how many workers were sent an ask, or its end
 	WorkersThere    Measure = "workers_there"    // connected workers in the data centre
 	RunsThere       Measure = "runs_there"       // runs of ours at the worker
 	SlownessPercent Measure = "slowness_percent" // of the estimates; the limit is where an outlier begins
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -12,7 +12,7 @@
 // the queue waits. Chosen, not measured.
 const lookAhead = 24
 
-// dispatch sends ready tasks to workers with room.
+// dispatch sends ready tasks to workers with room, and asks for room for what is left.
 func (c *Core) dispatch(now time.Time) {
 	if !c.evacuationsKnown() {
 		return
@@ -33,8 +33,14 @@
 		m := orders[w]
 		w.startSeq++
 		m.Seq = w.startSeq
+		m.Seen = w.status.Stamp
 		c.send(w.name, m)
 	}
+	if c.cfg.Load.AskForRoom {
+		for _, service := range ordered.Keys(c.ready) {
+			c.askForRoom(now, service, c.ready[service], orders)
+		}
+	}
 }
 
 // dispatchHeap orders what it can of the heap, and returns whether nothing is
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -71,6 +71,7 @@
 	eligible []*worker          // those that new tasks may go to (updateEligible), by name
 	sharers  map[string]float64 // coordinators that share each worker of a service, with this one
 	demands  map[string]*demand // by service
+	asks     map[string]*asks   // for room, by service
 	servedAt time.Time          // when there was last a worker that took tasks
 
 	evacuations   routing.Evacuations  // where nothing may be started
@@ -96,6 +97,7 @@
 		watched:     make(map[*job]struct{}),
 		sharers:     make(map[string]float64),
 		demands:     make(map[string]*demand),
+		asks:        make(map[string]*asks),
 		evacuatedAt: make(map[string]time.Time),
 		refusals:    make(map[string]*refusals),
 	}
--- a/jobs/scheduler/view.go
+++ b/jobs/scheduler/view.go
@@ -14,6 +14,7 @@
 	Ready      bool   `json:"ready"`     // takes tasks, by its own word
 	Evacuated  bool   `json:"evacuated"` // operators want no task started there
 	Ejected    bool   `json:"ejected"`   // its runs are slow or fail
+	Asked      bool   `json:"asked"`     // for room, for what waits here
 	Capacity   int64  `json:"capacity"`  // thousandths of a core
 	Free       int64  `json:"free"`      // the same; may be negative
 	Runs       int    `json:"runs"`      // of this coordinator, on their way or at work
@@ -30,6 +31,7 @@
 			Ready:      w.up && w.status.Ready,
 			Evacuated:  c.Evacuated(w.dataCentre),
 			Ejected:    w.outlier,
+			Asked:      w.up && w.ask.stands,
 			Capacity:   w.identity.Capacity.CPU,
 			Free:       w.free().CPU,
 			Runs:       len(w.assigned),
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -27,6 +27,7 @@
 	queried    []queriedRun // asked about since the connection is new
 	outlier    bool         // its runs are slow or fail, by its status
 	probedAt   time.Time    // when it last got a task as an outlier
+	ask        ask
 }
 
 // queriedRun is a run that a worker was asked about. By the time of the answer its task may
@@ -78,6 +79,7 @@
 	w.upAt = now
 	w.startSeq, w.beatSeq = 0, 0
 	w.confirmed = false
+	w.ask = ask{}
 	for t := range w.assigned { // any order will do
 		t.startSeq = 0 // ordered over an earlier connection
 	}
@@ -103,11 +105,13 @@
 		return
 	}
 	first := w.status.Stamp == 0
+	newLife := m.Identity != nil && m.Identity.Instance != w.identity.Instance
 	if m.Identity != nil {
 		w.identity = *m.Identity
 	}
 	w.status = *m
 	w.heardAt = now
+	c.hearRoom(w, newLife)
 	for _, number := range m.Fenced {
 		c.fenced(now, number)
 	}
