scheduler: play loads at several coordinators that share workers

Cause: the load play had one core, which has nobody to race with, so it could not show what most of an overload is lost by.

Change: coordinators with links of 0.5 to 1.5 ms, every fourth 3 ms slower, share workers that grant room by package room as a worker does; callers uneven by a hash. Waits are told by size and priority, as the most that one needs, at twice as many workers as tasks, 16 at least; room that is waited for is believed for 10 ms and until it is answered; a task that came back goes only where the status is fresh.

TestOverload and TestThirdOfTheRoomGone hold what they held.

--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -16,6 +16,7 @@
 type candidate struct {
 	w       *worker
 	free    durable.Resources
+	fresh   bool    // it told of that just now
 	ejected bool    // an outlier that gets no task now
 	jitter  float64 // share of the capacity by which the choice is left to chance
 }
@@ -28,7 +29,7 @@
 		if !c.takesTasks(now, w) || w.identity.Service != service {
 			continue
 		}
-		out = append(out, candidate{w: w, free: w.free(), jitter: c.random.Float64() * maxJitter})
+		out = append(out, candidate{w: w, free: w.usable(now), fresh: w.fresh(now), jitter: c.random.Float64() * maxJitter})
 		slow = append(slow, w.slowness())
 	}
 	slices.Sort(slow)
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -33,7 +33,8 @@
 		m := orders[w]
 		w.startSeq++
 		m.Seq = w.startSeq
-		m.Seen = w.status.Stamp
+		w.ask.seen = w.status.Stamp
+		m.Seen = w.ask.seen
 		c.send(w.name, m)
 	}
 	if c.cfg.Load.AskForRoom {
--- /dev/null
+++ b/jobs/scheduler/loadworker_test.go
@@ -0,0 +1,247 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/jobs/durable"
+	"github.com/lichenfall/lichenfall/jobs/room"
+	"github.com/lichenfall/lichenfall/jobs/scheduler"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// loadWorker is a worker of the load: it shares its room by package room, as a worker does,
+// and starts what fits at once.
+type loadWorker struct {
+	p       *loadPlay
+	number  int
+	life    int // of its process
+	factor  float64
+	free    durable.Resources
+	room    *room.Table
+	shared  bool        // somebody asked for room when it was last shared
+	links   []*loadLink // by coordinator
+	running []loadRun
+}
+
+// loadLink is a connection to a coordinator.
+type loadLink struct {
+	core     *loadCore
+	up       bool
+	beatSeq  uint64
+	startSeq uint64
+	told     bool      // has had a status
+	mutedTo  time.Time // it leaves the worker alone till then
+}
+
+// loadRun is a run at a worker.
+type loadRun struct {
+	core  *loadCore
+	order wire.RunOrder
+	began time.Time
+}
+
+func newLoadWorker(p *loadPlay, number int) *loadWorker {
+	w := &loadWorker{p: p, number: number, factor: 1, free: durable.Resources{CPU: loadCapacity, Memory: 1 << 20}}
+	if p.set.factor != nil {
+		w.factor = p.set.factor(number)
+	}
+	w.room = newRoom(w.free)
+	return w
+}
+
+func newRoom(whole durable.Resources) *room.Table {
+	cfg := config.DefaultRoom()
+	t := room.New(cfg.Core())
+	t.Resize(whole)
+	return t
+}
+
+func (w *loadWorker) name() string { return fmt.Sprintf("w%d", w.number) }
+
+func (w *loadWorker) dataCentre() string { return dataCentreOf(w.number) }
+
+func (w *loadWorker) ready() bool { return w.dataCentre() != w.p.evacuated }
+
+// connect makes a connection to the coordinator.
+func (w *loadWorker) connect(k *loadCore) {
+	w.links = append(w.links, &loadLink{core: k, up: !k.down})
+	w.p.tell(k, func(now time.Time) { k.core.WorkerUp(now, w.name(), w.dataCentre()) })
+	if w.number%len(w.p.cores) == k.number {
+		k.core.Prefer(w.name(), scheduler.Preferred)
+	}
+	w.settle([]*loadCore{k}, false)
+}
+
+// restart has the worker's process begin anew: it forgets what was asked, what runs goes
+// on, and coordinators connect again at once.
+func (w *loadWorker) restart() {
+	w.life++
+	whole := durable.Resources{CPU: loadCapacity, Memory: 1 << 20}
+	w.room = newRoom(whole)
+	w.links = nil
+	for _, k := range w.p.cores {
+		w.p.tell(k, func(now time.Time) { k.core.WorkerDown(now, w.name()) })
+		w.connect(k)
+	}
+}
+
+// lost ends the connection to the coordinator.
+func (w *loadWorker) lost(k *loadCore) {
+	w.links[k.number].up = false
+	w.room.Gone(k.name())
+	w.settle(nil, false)
+}
+
+// take takes a message that was sent to an earlier or the present life of the worker.
+func (w *loadWorker) take(k *loadCore, life int, m wire.Message) {
+	l := w.links[k.number]
+	if life != w.life || !l.up {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.OwnerHeartbeat:
+		l.beatSeq = m.Seq
+		w.settle([]*loadCore{k}, false)
+	case *wire.StartRuns:
+		w.start(l, m)
+	case *wire.StopRuns:
+		w.stop(m)
+	case *wire.RunsQuery:
+		w.answer(k, m)
+	case *wire.RoomAsk:
+		w.p.part().asks++
+		w.room.Ask(w.p.now, k.name(), m)
+		w.settle(nil, false)
+	}
+}
+
+// start takes what fits into the room that the coordinator may use.
+func (w *loadWorker) start(l *loadLink, m *wire.StartRuns) {
+	p, k := w.p, l.core
+	l.startSeq = m.Seq
+	w.room.Ordered(p.now, k.name(), m.Seen)
+	for _, order := range m.Runs {
+		p.part().sent++
+		if !w.ready() || !order.Need.Fits(w.room.Free(k.name(), w.free)) {
+			p.part().handedBack++
+			w.handBack(l, order.Ref)
+			continue
+		}
+		w.free = w.free.Sub(order.Need)
+		w.run(loadRun{k, order, p.now})
+	}
+	w.room.Took(k.name(), w.free)
+	w.settle([]*loadCore{k}, false)
+}
+
+func (w *loadWorker) handBack(l *loadLink, ref wire.RunRef) {
+	p := w.p
+	w.sendEnd(l, wire.RunEnd{Ref: ref, How: uint8(wire.EndNotRun), Reason: "busy"})
+	if p.set.backOff && p.now.After(l.mutedTo) {
+		pause := time.Duration(5+15*hashed("back off %v %d", ref, w.number)) * time.Millisecond
+		l.mutedTo = p.now.Add(pause)
+		p.after(pause+time.Microsecond, func() { w.settle([]*loadCore{l.core}, false) })
+	}
+}
+
+func (w *loadWorker) run(r loadRun) {
+	p := w.p
+	p.startedOne(r.order.Ref.Task.Job)
+	w.running = append(w.running, r)
+	took := w.factor * around(float64(r.order.EstimateMS), hashed("%v of %d", r.order.Ref.Task, p.seed)) * float64(time.Millisecond)
+	p.after(time.Duration(took), func() { w.ended(r.order.Ref, wire.EndDone) })
+}
+
+// ended ends a run, if it has not ended before.
+func (w *loadWorker) ended(ref wire.RunRef, how wire.End) {
+	at := slices.IndexFunc(w.running, func(r loadRun) bool { return r.order.Ref == ref })
+	if at < 0 {
+		return
+	}
+	r := w.running[at]
+	w.running = slices.Delete(w.running, at, at+1)
+	w.free = w.free.Add(r.order.Need)
+	l := w.links[r.core.number]
+	w.sendEnd(l, wire.RunEnd{Ref: ref, How: uint8(how), RunMS: w.p.now.Sub(r.began).Milliseconds()})
+	w.settle(nil, true)
+}
+
+// startedAfter returns whether anything that runs began later.
+func (w *loadWorker) startedAfter(moment time.Time) bool {
+	return slices.ContainsFunc(w.running, func(r loadRun) bool { return r.began.After(moment) })
+}
+
+func (w *loadWorker) stop(m *wire.StopRuns) {
+	for _, ref := range m.Runs {
+		w.ended(ref, wire.EndStopped)
+	}
+}
+
+// answer says which of the runs go on that a coordinator asks about.
+func (w *loadWorker) answer(k *loadCore, m *wire.RunsQuery) {
+	reply := &wire.PartitionRuns{Partition: wire.BestEffortRuns, StartSeq: w.links[k.number].startSeq}
+	for _, r := range w.running {
+		if r.core == k {
+			reply.Running = append(reply.Running, r.order.Ref)
+		}
+	}
+	w.send(k, func(now time.Time) { k.core.Runs(now, w.name(), reply) })
+}
+
+// send has the coordinator hear something, unless the connection is lost before.
+func (w *loadWorker) send(k *loadCore, what func(now time.Time)) {
+	l, life := w.links[k.number], w.life
+	w.p.after(k.delay, func() {
+		if l.up && life == w.life {
+			w.p.tell(k, what)
+		}
+	})
+}
+
+func (w *loadWorker) sendEnd(l *loadLink, e wire.RunEnd) {
+	m := &wire.RunEnds{Ends: []wire.RunEnd{e}}
+	w.send(l.core, func(now time.Time) { l.core.core.Ends(now, w.name(), m) })
+}
+
+// settle shares the room, and sends statuses: to those given, to whom room was granted, and
+// of what has come free to all while nobody asks.
+func (w *loadWorker) settle(to []*loadCore, freed bool) {
+	free := w.free
+	if !w.ready() {
+		free = durable.Resources{}
+	}
+	granted := w.room.Share(w.p.now, free)
+	all := !w.room.Asked() && (freed || w.shared)
+	w.shared = w.room.Asked()
+	for _, l := range w.links {
+		if l.up && (all || slices.Contains(to, l.core) || slices.Contains(granted, l.core.name())) {
+			w.status(l)
+		}
+	}
+}
+
+// status tells a coordinator of the worker's state.
+func (w *loadWorker) status(l *loadLink) {
+	p, k := w.p, l.core
+	if p.now.Before(l.mutedTo) {
+		return
+	}
+	m := &wire.WorkerStatus{
+		Stamp:        max(1, p.at().Microseconds()),
+		HeartbeatSeq: l.beatSeq,
+		StartSeq:     l.startSeq,
+		Ready:        w.ready(),
+		Free:         w.room.Free(k.name(), w.free),
+		TimeFactor:   uint32(100 * w.factor),
+		Waiting:      w.room.Waiting(p.now, k.name()),
+	}
+	if !l.told {
+		l.told = true
+		m.Identity = &wire.BackendIdentity{Instance: w.name(), Service: "s", Capacity: durable.Resources{CPU: loadCapacity, Memory: 1 << 20}}
+	}
+	w.room.Told(p.now, k.name(), m.Stamp)
+	w.send(k, func(now time.Time) { k.core.Status(now, w.name(), m) })
+}
--- a/jobs/scheduler/overloadbench_test.go
+++ b/jobs/scheduler/overloadbench_test.go
@@ -10,8 +10,7 @@
 func BenchmarkOverloadSecond(b *testing.B) {
 	b.ReportAllocs()
 	for b.Loop() {
-		p := newLoad(1, deskKinds(0))
-		p.play(func(time.Duration) {})
+		newLoad(1, desk(deskKinds(0))).play()
 	}
 	const seconds = (loadLength + 2*time.Second) / time.Second
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(seconds)/1e6, "ms/second")
--- a/jobs/scheduler/placement.go
+++ b/jobs/scheduler/placement.go
@@ -9,7 +9,7 @@
 	bestWorth := 0.0
 	for i := range workers {
 		cand := &workers[i]
-		if !t.mayGo(cand) {
+		if !t.mayGo(cand) || c.cfg.Load.AskForRoom && t.cameBack && !cand.fresh {
 			continue
 		}
 		if worth := c.worth(t, cand); best == nil || worth > bestWorth {
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -30,6 +30,7 @@
 	failures  []uint32  // runs that failed
 	crashes   crashes   // runs that were lost with a crashed backend server
 	silences  []silence // servers that fell silent under it, and may have crashed
+	cameBack  bool      // the newest run was handed back
 	straggles int       // runs that were stopped as stragglers
 	avoid     []string  // workers where a run failed or straggled
 	worker    *worker   // while assigned
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -111,7 +111,10 @@
 	}
 	w.status = *m
 	w.heardAt = now
-	c.hearRoom(w, newLife)
+	if newLife {
+		w.ask.stands, w.ask.told = false, false
+	}
+	c.hearRoom(w)
 	for _, number := range m.Fenced {
 		c.fenced(now, number)
 	}
