scheduler: hold overloads that several coordinators share

Cause: nothing held who is served when callers are uneven, move, or when a coordinator or worker fails in an overload.

An ask is also replaced when it names another number of waits.

--- a/jobs/scheduler/asks.go
+++ b/jobs/scheduler/asks.go
@@ -44,7 +44,7 @@
 	}
 	age := now.Sub(a.at)
 	change := waits[0].from.Sub(a.first).Abs()
-	return age >= askAgain || age >= askPace && change > turnChanges
+	return age >= askAgain || age >= askPace && (change > turnChanges || len(waits) != len(a.needs))
 }
 
 // asks is what is asked for the tasks of one service.
--- a/jobs/scheduler/loadplay_test.go
+++ b/jobs/scheduler/loadplay_test.go
@@ -29,6 +29,7 @@
 	kinds        []kindOfJob
 	coordinators int
 	workers      int
+	seeds        uint64 // how many are played
 	policy       scheduler.LoadPolicy
 	sharers      float64                             // what each coordinator takes for the number of those that share a worker
 	burst        func(kind int) float64              // how many times as many jobs come in the burst
@@ -56,8 +57,8 @@
 // share returns the share that was answered in time.
 func (o *outcome) share() float64 { return float64(o.inTime) / float64(max(1, o.sent)) }
 
-// refusedShare returns the share that was refused.
-func (o *outcome) refusedShare() float64 { return float64(o.refused) / float64(max(1, o.sent)) }
+// missedShare returns the share that was refused or late.
+func (o *outcome) missedShare() float64 { return 1 - o.share() }
 
 func (o *outcome) add(b outcome) {
 	o.sent += b.sent
@@ -78,6 +79,7 @@
 	calm   orders          // before the burst, and from a second after it
 	over   orders          // in the burst
 	starts []time.Duration // from handing in to the first start, before the burst
+	left   []string        // what should not be so at the end of a load
 }
 
 func (r *loadResult) add(b *loadResult) {
@@ -117,6 +119,7 @@
 	next    scheduler.Call
 	waiting map[durable.JobID]time.Time // when the jobs came of which nothing has started
 	out     loadResult
+	twice   []string // tasks that ran twice at once
 	// evacuated is the data centre in which nothing may be started.
 	evacuated string
 }
@@ -387,12 +390,33 @@
 	}
 }
 
+// whatIsLeft returns what should not be so once no more jobs come: callers without an
+// answer, room that is not free, asks that stand.
+func (p *loadPlay) whatIsLeft() []string {
+	out := p.twice
+	for _, j := range p.jobs {
+		if k := p.cores[j.core]; !k.down {
+			out = append(out, "no answer from "+k.name())
+		}
+	}
+	for _, w := range p.workers {
+		if w.free.CPU != loadCapacity {
+			out = append(out, fmt.Sprintf("%s has %d free", w.name(), w.free.CPU))
+		}
+		if w.room.Asked() {
+			out = append(out, w.name()+" is asked for room")
+		}
+	}
+	return out
+}
+
 // playLoads plays a load with some seeds, and adds up what became of it.
 func playLoads(set loadSetting) *loadResult {
-	const seeds = 4
 	sum := &loadResult{kinds: make([]outcome, len(set.kinds)), cores: make([]outcome, set.coordinators)}
-	for seed := range uint64(seeds) {
-		sum.add(newLoad(seed, set).play())
+	for seed := range set.seeds {
+		p := newLoad(seed, set)
+		sum.add(p.play())
+		sum.left = append(sum.left, p.whatIsLeft()...)
 	}
 	return sum
 }
--- a/jobs/scheduler/loadworker_test.go
+++ b/jobs/scheduler/loadworker_test.go
@@ -150,6 +150,9 @@
 func (w *loadWorker) run(r loadRun) {
 	p := w.p
 	p.startedOne(r.order.Ref.Task.Job)
+	if slices.ContainsFunc(p.workers, func(o *loadWorker) bool { return o.runs(r.order.Ref.Task) }) {
+		p.twice = append(p.twice, r.order.Ref.Task.String()+" runs twice")
+	}
 	w.running = append(w.running, r)
 	took := w.factor * around(float64(r.order.EstimateMS), hashed("%v of %d", r.order.Ref.Task, p.seed)) * float64(time.Millisecond)
 	p.after(time.Duration(took), func() { w.ended(r.order.Ref, wire.EndDone) })
@@ -169,6 +172,11 @@
 	w.settle(nil, true)
 }
 
+// runs returns whether the task runs here.
+func (w *loadWorker) runs(task durable.TaskID) bool {
+	return slices.ContainsFunc(w.running, func(r loadRun) bool { return r.order.Ref.Task == task })
+}
+
 // startedAfter returns whether anything that runs began later.
 func (w *loadWorker) startedAfter(moment time.Time) bool {
 	return slices.ContainsFunc(w.running, func(r loadRun) bool { return r.began.After(moment) })
--- a/jobs/scheduler/overload_test.go
+++ b/jobs/scheduler/overload_test.go
@@ -26,7 +26,7 @@
 // desk is the load of the desk at one coordinator.
 func desk(kinds []kindOfJob) loadSetting {
 	cfg := config.DefaultLoadPolicy()
-	return loadSetting{kinds: kinds, coordinators: 1, workers: loadWorkers, policy: cfg.Core(), burst: func(int) float64 { return burstX }}
+	return loadSetting{kinds: kinds, coordinators: 1, workers: loadWorkers, seeds: 4, policy: cfg.Core(), burst: func(int) float64 { return burstX }}
 }
 
 // TestOverload holds who is served in the burst: the urgent kind no worse than any other,
