--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -15,6 +15,7 @@
 type candidate struct {
 	w       *worker
 	free    durable.Resources
+	fresh   bool    // it told of that just now
 	factor  float64 // usual time of a run there over its estimate
 	heldFor float64 // work that holds out for it in this round, thousandths of a core times ms
 	ejected bool    // an outlier that gets no task now
@@ -30,7 +31,7 @@
 		if !c.takesTasks(now, w) || w.identity.Service != service {
 			continue
 		}
-		out = append(out, candidate{w: w, free: w.free(), factor: w.timeFactor(), jitter: c.random.Float64() * maxJitter})
+		out = append(out, candidate{w: w, free: w.usable(now), fresh: w.fresh(now), factor: w.timeFactor(), jitter: c.random.Float64() * maxJitter})
 		slow = append(slow, w.slowness())
 	}
 	slices.Sort(slow)
--- a/jobs/scheduler/unequal_test.go
+++ b/jobs/scheduler/unequal_test.go
@@ -58,6 +58,8 @@
 	return r.took
 }
 
+func workerName(i int) string { return fmt.Sprintf("w%d", i) }
+
 // unequalPlay plays a load through one core, in steps of a millisecond.
 type unequalPlay struct {
 	core     *scheduler.Core
@@ -73,6 +75,7 @@
 func newUnequalPlay(seed uint64, bySpeed bool) *unequalPlay {
 	cfg := config.DefaultScheduler()
 	cfg.Load.PlaceBySpeed = bySpeed
+	cfg.Load.AskForRoom = false // these workers share no room
 	p := &unequalPlay{
 		core: scheduler.New(cfg.Core("a"), seed), random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0),
 		ejected: make(map[string]time.Time), restored: make(map[string]time.Time),
--- a/jobs/scheduler/unequalload_test.go
+++ b/jobs/scheduler/unequalload_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/lichenfall/lichenfall/config"
-	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -32,50 +30,32 @@
 	bySpeed  bool
 	remote   float64 // the remote factor; 1 where racks make no difference
 	overload float64 // times the kinds' rates
-
 }
 
 var thirds = []float64{0.6, 1, 1.6}
 
-// newUnequal returns a play of the load; workers 0, 1 and 2 of ten are in rack r0, and so on.
-func newUnequal(seed uint64, kinds []kindOfJob, u unequal) *loadPlay {
-	kinds = slices.Clone(kinds)
-	for i := range kinds {
-		kinds[i].perS *= u.overload
-	}
-	p := newLoad(seed, kinds)
-	cfg := config.DefaultScheduler()
-	cfg.Load.PlaceBySpeed, cfg.Load.RemoteFactor = u.bySpeed, u.remote
-	p.core = scheduler.New(cfg.Core("a"), seed)
-	p.core.Evacuate(p.now, routing.Evacuations{Offset: 1})
-	p.unequal = &u
-	for i := range loadWorkers {
-		p.core.WorkerUp(p.now, workerName(i), dataCentreOf(i))
-		p.status(i)
+// load returns the load; workers 0, 1 and 2 of ten are in rack r0, and so on.
+func (u unequal) load(kinds []kindOfJob) loadSetting {
+	set := desk(slices.Clone(kinds))
+	set.seeds = 2
+	for i := range set.kinds {
+		set.kinds[i].perS *= u.overload
 	}
-	return p
+	set.policy.PlaceBySpeed, set.policy.RemoteFactor = u.bySpeed, u.remote
+	set.factor = func(i int) float64 { return u.factors[i%len(u.factors)] }
+	return set
 }
 
 func rackOf(i int) string { return fmt.Sprintf("r%d", i/3) }
 
-// factor returns the usual time of a run at the worker over its estimate.
-func (u *unequal) factor(i int) float64 {
-	if u == nil {
-		return 1
-	}
-	return u.factors[i%len(u.factors)]
-}
-
-// slowdown returns how many times what the order says the run takes at the worker.
-func (p *loadPlay) slowdown(i int, order *wire.RunOrder) float64 {
-	x := p.unequal.factor(i)
-	if p.unequal == nil || p.unequal.bySpeed {
-		return x // the order knows of the distance
-	}
-	if rack := p.rackWanted(order); rack != "" && rack != rackOf(i) {
-		x *= p.unequal.remote
+// distance returns how many times what the order says the run takes at the worker, for its
+// distance from its data.
+func (w *loadWorker) distance(order *wire.RunOrder) float64 {
+	rack := w.p.rackWanted(order)
+	if w.p.set.policy.PlaceBySpeed || rack == "" || rack == rackOf(w.number) {
+		return 1 // or the order knows of it
 	}
-	return x
+	return w.p.set.policy.RemoteFactor
 }
 
 // rackWanted returns the rack of the data of the run's job.
@@ -84,31 +64,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return p.kinds[p.jobs[scheduler.Call(call)].kind].rack
-}
-
-// begun calls f for each run that began in the step before.
-func (p *loadPlay) begun(f func(r *loadRun)) {
-	for i := range p.running {
-		if r := &p.running[i]; r.began.Equal(p.now.Add(-time.Millisecond)) {
-			f(r)
-		}
-	}
-}
-
-// playUnequal adds up the outcomes of some seeds.
-func playUnequal(kinds []kindOfJob, u unequal, also func(p *loadPlay, at time.Duration)) []outcome {
-	const seeds = 2
-	sum := make([]outcome, len(kinds))
-	for seed := range uint64(seeds) {
-		p := newUnequal(seed, kinds, u)
-		for i, o := range p.play(func(at time.Duration) { also(p, at) }) {
-			sum[i].sent += o.sent
-			sum[i].inTime += o.inTime
-			sum[i].refused += o.refused
-		}
-	}
-	return sum
+	return p.set.kinds[p.jobs[scheduler.Call(call)].kind].rack
 }
 
 func logOutcomes(t *testing.T, what string, kinds []kindOfJob, out []outcome) {
@@ -121,13 +77,13 @@
 // work does not run where it is late.
 func TestUnequalServersAllInTime(t *testing.T) {
 	kinds := unequalKinds()
-	out := playUnequal(kinds, unequal{factors: thirds, bySpeed: true, remote: 1, overload: 0.5}, func(p *loadPlay, _ time.Duration) {
-		p.begun(func(r *loadRun) {
-			if r.order.EstimateMS > 500 && p.unequal.factor(r.worker) > 1 {
-				t.Errorf("a run of %d ms begins on a server of %.1f", r.order.EstimateMS, p.unequal.factor(r.worker))
-			}
-		})
-	})
+	set := unequal{factors: thirds, bySpeed: true, remote: 1, overload: 0.5}.load(kinds)
+	set.onStart = func(w *loadWorker, r *loadRun) {
+		if r.order.EstimateMS > 500 && w.factor > 1 {
+			t.Errorf("a run of %d ms begins on a server of %.1f", r.order.EstimateMS, w.factor)
+		}
+	}
+	out := playLoads(set).kinds
 	logOutcomes(t, "calm", kinds, out)
 	for i := range out {
 		if out[i].share() < 0.99 || out[i].refused > 0 {
@@ -143,9 +99,9 @@
 	kinds := unequalKinds()
 	for _, overload := range []float64{1, 1.6} {
 		u := unequal{factors: thirds, remote: 1, overload: overload}
-		without := playUnequal(kinds, u, nothing)
+		without := playLoads(u.load(kinds)).kinds
 		u.bySpeed = true
-		with := playUnequal(kinds, u, nothing)
+		with := playLoads(u.load(kinds)).kinds
 		logOutcomes(t, fmt.Sprintf("%.1f off", overload), kinds, without)
 		logOutcomes(t, fmt.Sprintf("%.1f on", overload), kinds, with)
 		if tight := with[1].share() - without[1].share(); tight < 0.1 {
@@ -197,19 +153,18 @@
 func playHotRack(kinds []kindOfJob, remote float64, bySpeed bool) (out []outcome, share float64) {
 	near, all := 0, 0
 	u := unequal{factors: []float64{1}, bySpeed: bySpeed, remote: remote, overload: 1}
-	out = playUnequal(kinds, u, func(p *loadPlay, _ time.Duration) {
-		p.begun(func(r *loadRun) {
-			rack := p.rackWanted(&r.order)
-			if rack == "" {
-				return
-			}
-			all++
-			if rack == rackOf(r.worker) {
-				near++
-			}
-		})
-	})
-	return out, float64(near) / float64(max(1, all))
+	set := u.load(kinds)
+	set.onStart = func(w *loadWorker, r *loadRun) {
+		rack := w.p.rackWanted(&r.order)
+		if rack == "" {
+			return
+		}
+		all++
+		if rack == rackOf(w.number) {
+			near++
+		}
+	}
+	return playLoads(set).kinds, float64(near) / float64(max(1, all))
 }
 
 // TestEqualServersAsBefore holds that where all servers are alike the same tasks go to the same
@@ -218,9 +173,9 @@
 	orders := func(bySpeed bool) []string {
 		var out []string
 		u := unequal{factors: []float64{1}, bySpeed: bySpeed, remote: 1, overload: 1}
-		playUnequal(unequalKinds(), u, func(p *loadPlay, at time.Duration) {
-			p.begun(func(r *loadRun) { out = append(out, fmt.Sprint(at, r.worker, r.order)) })
-		})
+		set := u.load(unequalKinds())
+		set.onStart = func(w *loadWorker, r *loadRun) { out = append(out, fmt.Sprint(w.p.at(), w.name(), r.order)) }
+		playLoads(set)
 		return out
 	}
 	if !slices.Equal(orders(true), orders(false)) {
--- a/jobs/scheduler/view.go
+++ b/jobs/scheduler/view.go
@@ -14,6 +14,7 @@
 	Ready      bool   `json:"ready"`     // takes tasks, by its own word
 	Evacuated  bool   `json:"evacuated"` // operators want no task started there
 	Ejected    bool   `json:"ejected"`   // its runs are slow or fail
+	Asked      bool   `json:"asked"`     // for room, for what waits here
 	// TimeFactor is the usual time of runs there over their estimates, and Slowness that of the
 	// latest over what is usual, both in percent and by its own word; 0 if not known.
 	TimeFactor uint32 `json:"time_factor"`
@@ -36,6 +37,7 @@
 			Ejected:    w.outlier,
 			TimeFactor: w.usualSpeed(),
 			Slowness:   w.status.Slowness,
+			Asked:      w.up && w.ask.stands,
 			Capacity:   w.identity.Capacity.CPU,
 			Free:       w.free().CPU,
 			Runs:       len(w.assigned),
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -27,7 +27,8 @@
 	queried    []queriedRun // asked about since the connection is new
 	outlier    bool         // its runs are slow or fail, by its status
 	probedAt   time.Time    // when it last got a task as an outlier
-	speed      knownSpeed   // the last that was heard of a life
+	ask        ask
+	speed      knownSpeed // the last that was heard of a life
 	// speedIgnored has the worker taken to be as fast as any other.
 	speedIgnored bool
 }
@@ -81,6 +82,7 @@
 	w.upAt = now
 	w.startSeq, w.beatSeq = 0, 0
 	w.confirmed = false
+	w.ask = ask{}
 	for t := range w.assigned { // any order will do
 		t.startSeq = 0 // ordered over an earlier connection
 	}
@@ -106,12 +108,17 @@
 		return
 	}
 	first := w.status.Stamp == 0
+	newLife := m.Identity != nil && m.Identity.Instance != w.identity.Instance
 	if m.Identity != nil {
 		w.identity = *m.Identity
 	}
 	w.status = *m
 	w.rememberSpeed()
 	w.heardAt = now
+	if newLife {
+		w.ask.stands, w.ask.told = false, false
+	}
+	c.hearRoom(w)
 	for _, number := range m.Fenced {
 		c.fenced(now, number)
 	}
