--- a/jobs/scheduler/unequalload_test.go
+++ b/jobs/scheduler/unequalload_test.go
@@ -174,7 +174,7 @@
 		var out []string
 		u := unequal{factors: []float64{1}, bySpeed: bySpeed, remote: 1, overload: 1}
 		set := u.load(unequalKinds())
-		set.onStart = func(w *loadWorker, r *loadRun) { out = append(out, fmt.Sprint(w.p.at(), w.name(), r.order)) }
+		set.onStart = func(w *loadWorker, r *loadRun) { out = append(out, fmt.Sprint(w.p.at(), w.name, r.order)) }
 		playLoads(set)
 		return out
 	}
