--- a/commands/status.go
+++ b/commands/status.go
@@ -100,8 +100,8 @@
 	for _, q := range o.Queues {
 		fmt.Fprintf(w, "%s\t%d\t%d\n", q.Queue, q.Waiting, q.Refused)
 	}
-	fmt.Fprintln(w, "\nWORKER\tDATA CENTRE\tCONNECTED\tREADY\tEVACUATED\tEJECTED\tFREE OF MILLI-CORES\tRUNS")
+	fmt.Fprintln(w, "\nWORKER\tDATA CENTRE\tCONNECTED\tREADY\tEVACUATED\tEJECTED\tASKED\tFREE OF MILLI-CORES\tRUNS")
 	for _, k := range o.Workers {
-		fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%t\t%t\t%d of %d\t%d\n", k.Address, k.DataCentre, k.Connected, k.Ready, k.Evacuated, k.Ejected, k.Free, k.Capacity, k.Runs)
+		fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%t\t%t\t%t\t%d of %d\t%d\n", k.Address, k.DataCentre, k.Connected, k.Ready, k.Evacuated, k.Ejected, k.Asked, k.Free, k.Capacity, k.Runs)
 	}
 }
