scheduler: look at whom we asked, however many workers there are

A round looks at 64 workers; with more, one that had just told of the room which it was asked for could be left out, and the room went back unused. Now those are looked at as well. The spec fails without.

--- a/jobs/scheduler/asks.go
+++ b/jobs/scheduler/asks.go
@@ -201,8 +201,7 @@
 
 // mayAsk returns whether the worker takes tasks, and some of what waits may go there.
 func (c *Core) mayAsk(now time.Time, w *worker, service string, waits []wait) bool {
-	_, eligible := slices.BinarySearchFunc(c.eligible, w, byName)
-	return eligible && c.takesTasks(now, w) && w.identity.Service == service && !now.Before(w.ask.aloneTo) &&
+	return c.isEligible(w) && c.takesTasks(now, w) && w.identity.Service == service && !now.Before(w.ask.aloneTo) &&
 		!c.ejected(now, w) && slices.ContainsFunc(waits, w.mayHave)
 }
 
--- a/jobs/scheduler/asks_test.go
+++ b/jobs/scheduler/asks_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
+	"github.com/lichenfall/lichenfall/lib/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
@@ -171,6 +172,23 @@
 		}
 	})
 
+	It("uses the room of whom it asked, however many workers there are", func() {
+		const workers = 200
+		f.now = f.now.Add(20 * time.Millisecond)
+		full()
+		for i := range workers {
+			f.core.WorkerUp(f.now, fmt.Sprintf("x%d", i), "nadi")
+			f.status(fmt.Sprintf("x%d", i), 0)
+		}
+		f.pass(20 * time.Millisecond)
+		asked := asks(f.core.Take(f.now))
+		Expect(len(asked)).To(BeNumerically(">=", 15))
+		for _, name := range ordered.Keys(asked)[:2] {
+			f.status(name, 1000)
+			Expect(f.orders(f.core.Take(f.now))).To(HaveLen(1), name)
+		}
+	})
+
 	Context("when word of room", func() {
 		BeforeEach(full)
 
--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -25,7 +25,7 @@
 func (c *Core) candidates(now time.Time, service string) []candidate {
 	var out []candidate
 	var slow []float64
-	for _, w := range c.sample() {
+	for _, w := range c.sample(service) {
 		if !c.takesTasks(now, w) || w.identity.Service != service {
 			continue
 		}
@@ -57,16 +57,30 @@
 	return free
 }
 
-// sample returns the workers to look at in this round: all, or a run of them
-// that begins anywhere.
-func (c *Core) sample() []*worker {
+// sample returns the workers to look at in this round: all, or a run of them that begins
+// anywhere, and those that have just told of room which was asked for.
+func (c *Core) sample(service string) []*worker {
 	n := len(c.eligible)
 	if n <= maxCandidates {
 		return c.eligible
 	}
 	at := c.random.IntN(n)
+	var out []*worker
 	if at+maxCandidates <= n {
-		return c.eligible[at : at+maxCandidates]
+		out = slices.Clone(c.eligible[at : at+maxCandidates])
+	} else {
+		out = slices.Concat(c.eligible[at:], c.eligible[:at+maxCandidates-n])
 	}
-	return slices.Concat(c.eligible[at:], c.eligible[:at+maxCandidates-n])
+	for _, w := range c.asksOf(service).told {
+		if c.isEligible(w) && !slices.Contains(out, w) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// isEligible returns whether new tasks may go to the worker at all.
+func (c *Core) isEligible(w *worker) bool {
+	_, is := slices.BinarySearchFunc(c.eligible, w, byName)
+	return is
 }
