--- a/jobs/scheduler/overloadbench_test.go
+++ b/jobs/scheduler/overloadbench_test.go
@@ -26,6 +26,7 @@
 			b.Run(fmt.Sprintf("%d/%s", coordinators, way), func(b *testing.B) {
 				set := sharedDesk(coordinators)
 				set.seeds = 4
+				set.sharers = float64(coordinators)
 				set.policy.AskForRoom = way == "asks"
 				set.backOff = way == "back_off"
 				for b.Loop() {
--- a/jobs/scheduler/waits.go
+++ b/jobs/scheduler/waits.go
@@ -84,14 +84,14 @@
 // wanted returns how many workers are to be asked.
 func (k *wait) wanted() int { return max(leastAsked, askedATask*k.tasks) }
 
-// spread returns where among the workers it begins to be asked for: not all waits at the
-// same.
+// spread returns at which of the workers it begins to be asked for, the same each time: waits
+// that ask for different things begin at different ones.
 func (k *wait) spread() int {
-	const primes = 3 * 5
+	at := 3*k.size + 5*int(max(0, k.priority))
 	if k.begun {
-		return 3*k.size + primes
+		at += leastAsked - 1
 	}
-	return 3*k.size + 5*int(max(0, k.priority))
+	return at
 }
 
 // farOff sets the turns of jobs that have begun before all others, and those of overdue
