scheduler: serve by class, and judge jobs by all that comes before them

Cause: a loose job was let in by the work that waits now, though tight work that comes while it waits goes before it and is then refused; between the second priority and later ones nothing differed; each coordinator took an even share of the capacity for its own; and what had been let in was not judged again.

Change: - turn.go: each priority has 300 ms over the next, four classes at the most; - forecast.go, flows.go: a wait is own work, what workers told of others' work (Waiting), and what will come and come first, over the cores at their speed; where a worker's word is older than two heartbeats, the even share as before; - admission.go: a class of which less than half of the best is taken is helped, unless it floods; jobs of later classes that have not begun give way; - giveup.go: the queue is judged anew when the cores change and each 100 ms; a job with room for all of it is not refused, and refusal_beside_room counted; - returns.go: Retry-After is spread over whole seconds, by class; - JobRefused and JobGivenUp say why, and what stood before the job. Switches: scheduler.load.admit_by_all, order_by_priority.

Ruled out: the even share as the cause (one core, nobody else: the same shares); smaller steps between classes (the urgent kind loses), a larger share of the slack (all lose). Figures of each part: docs/design/0013.

Conclusion: what counts is that arrivals are foreseen. The long kind pays, by the order that the priorities ask for.

--- a/jobs/coordinator/perform.go
+++ b/jobs/coordinator/perform.go
@@ -107,5 +107,14 @@
 	if n.Limit != 0 {
 		fields = append(fields, zap.Int64("limit", n.Limit))
 	}
+	if f := n.Forecast; f != nil {
+		fields = append(fields,
+			zap.Int("class", f.Class),
+			zap.Int64("own_ms", f.Own.Milliseconds()),
+			zap.Int64("others_ms", f.Others.Milliseconds()),
+			zap.Int64("later_ms", f.Later.Milliseconds()),
+			zap.Int64("known_ms", f.Age.Milliseconds()),
+			zap.Int("unknown", f.Unknown))
+	}
 	return fields
 }
--- a/jobs/scheduler/admission.go
+++ b/jobs/scheduler/admission.go
@@ -1,59 +1,140 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
 )
 
-// admitShare is the share of its slack that a job may be thought to wait. In an overload
-// 84.0 % of what the answers are worth to callers was earned, 83.6 % with 0.8; measured
-// once.
+// Who is served, where, and why, when not all fit:
+//
+//	turn.go       the order of all that waits: one time a task, by its due time and class
+//	flows.go      what came of late by queue; which class is left behind
+//	forecast.go   what stands before a job, here and at other coordinators, and its wait
+//	admission.go  who is let in, and who gives way
+//	giveup.go     who is refused later, when room has shrunk or time has passed
+//	returns.go    when who was refused is told to come back
+//	placement.go  which worker a task goes to
+//
+// docs/design/0013 has the reasons.
+
+// admitShare is the share of its slack that a job may be thought to wait.
 const admitShare = 0.5
 
-// admit returns whether a best-effort job can be thought to begin in time, with
-// how long it would wait and how long it may. It is refused at once otherwise. The
-// first of these that applies decides:
+// Why a job was refused on its arrival.
+const (
+	reasonNoWorker    = "no_worker"     // none of its service takes tasks
+	reasonTooLong     = "wait_too_long" // it could not be thought to begin in time
+	reasonTooManyJobs = "too_many_jobs"
+)
+
+// admit returns why a best-effort job cannot be thought to begin in time, or nothing if it can,
+// with what it would wait for. It is refused at once otherwise. The first of these that applies
+// decides:
 //   - some worker may have room and has not said so, or there were workers until a
 //     moment ago: it is taken, and waits for them;
 //   - no worker of its service takes tasks: it is refused;
 //   - there is room now, in whole tasks, for all that could begin: it is taken;
-//   - else the work of the tasks that come first, over our share of the capacity,
-//     is its wait, and it may take admitShare of the slack of its first task.
-func (c *Core) admit(now time.Time, j *job) (wait, allowed time.Duration, ok bool) {
+//   - it waits for what comes before it no longer than admitShare of the slack of its first
+//     task, as a job of the first class if its own is left behind: it is taken;
+//   - jobs of later classes that have not begun come before it, and without them it would
+//     not wait longer: they give way.
+func (c *Core) admit(now time.Time, j *job) (f Forecast, why string) {
 	service := j.sub.Queue.Service
+	s := c.supplyOf(now, service)
+	if c.someUnreported(now) || c.serving(now) == 0 && c.Serving(now) {
+		return f, ""
+	}
+	if s.cores == 0 {
+		return Forecast{Class: j.class}, reasonNoWorker
+	}
+	first := &j.tasks[0]
 	need, tasks := firstTasks(j)
-	var capacity, room int64
-	for _, cand := range c.candidates(now, service) {
-		capacity += cand.w.identity.Capacity.CPU
-		room += need.Times(cand.free)
+	if tasks <= s.room(first, need, 0) {
+		return f, ""
 	}
-	if c.someUnreported(now) || c.serving(now) == 0 && c.Serving(now) {
-		return 0, 0, true
+	f = c.forecastNew(now, s, first)
+	if f.Wait() > f.Allowed && c.leftBehind(now, service, j.class, s.ours()) {
+		j.class = 0
+		f = c.forecastNew(now, s, first)
 	}
-	if capacity == 0 {
-		return 0, 0, false
+	if f.Wait() <= f.Allowed || c.makeWay(now, s, first, f) {
+		return f, ""
 	}
-	if tasks <= room {
-		return 0, 0, true
+	return f, reasonTooLong
+}
+
+// forecastNew returns how long a new job will wait whose first task is t.
+func (c *Core) forecastNew(now time.Time, s *supply, t *task) Forecast {
+	f := c.forecast(now, s, t, c.workBefore(t.job.sub.Queue.Service, t.turn()))
+	f.Allowed = time.Duration(admitShare * float64(t.due.Sub(now)))
+	return f
+}
+
+// makeWay refuses jobs of later classes that have not begun and come before the task, those of
+// the last class first and of these the last to come, if without them the task waits no longer than
+// it may. It returns whether it does.
+func (c *Core) makeWay(now time.Time, s *supply, t *task, f Forecast) bool {
+	if !c.cfg.Load.OrderByPriority || t.job.class == lastClass {
+		return false
 	}
-	if n := len(c.eligible); n > maxCandidates {
-		capacity = capacity * int64(n) / maxCandidates
+	excess := float64(f.Wait()-f.Allowed) * s.cores * s.scale
+	var give []*job
+	for _, j := range c.behind(t) {
+		if excess <= 0 {
+			break
+		}
+		excess -= j.work()
+		give = append(give, j)
 	}
-	first := &j.tasks[0]
-	ours := float64(capacity) / max(1, c.sharers[service])
-	wait = time.Duration(c.workBefore(service, first.turn()) / ours)
-	allowed = time.Duration(admitShare * float64(first.due.Sub(now)))
-	return wait, allowed, wait <= allowed
+	if excess > 0 {
+		return false
+	}
+	for _, j := range give {
+		c.refuseUnstarted(now, j, reasonGaveWay, nil)
+	}
+	return true
+}
+
+// behind returns the jobs of later classes that have not begun and come before the task, in the
+// order in which they give way.
+func (c *Core) behind(t *task) []*job {
+	var out []*job
+	turn := t.turn()
+	for _, o := range c.readyOf(t.job.sub.Queue.Service).onTime.tasks {
+		j := o.job
+		if j.class > t.job.class && j.mayGiveWay() && o == j.firstReady() && !o.turn().After(turn) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(b.class, a.class), b.received.Compare(a.received), cmp.Compare(a.id, b.id))
+	})
+	return out
+}
+
+// mayGiveWay returns whether the job may be refused now: it has not run, and its caller waits.
+func (j *job) mayGiveWay() bool { return j.sub.BestEffort && !j.begun() }
+
+// firstReady returns the job's first task that wants a worker, or nil.
+func (j *job) firstReady() *task {
+	for i := range j.tasks {
+		if j.tasks[i].position >= 0 {
+			return &j.tasks[i]
+		}
+	}
+	return nil
 }
 
 // full returns whether no more jobs may be taken, so that their state stays
 // within the box's memory.
 func (c *Core) full() bool { return c.active >= c.cfg.MaxJobs }
 
-// startupGrace is how long a connected worker may take to say what it has, and
-// how long a coordinator without workers lets its callers hope. Chosen, not
-// measured: the first status comes within a heartbeat, unless the box is slow.
+// startupGrace is how long a connected worker may take to say what it has, and how long a
+// coordinator without workers lets its callers hope: the first status comes within a
+// heartbeat, unless the box is slow.
 const startupGrace = 1500 * time.Millisecond
 
 // someUnreported returns whether there are workers that may have room but have
--- a/jobs/scheduler/calls.go
+++ b/jobs/scheduler/calls.go
@@ -27,8 +27,7 @@
 }
 
 // failUntil fails a call that may do better after the time given, as far as that is known.
-// It is told to come back then, and not before Settings.RetryAfter. Callers who are refused
-// one after the other come back one after the other, so nothing spreads them.
+// It is told to come back then, and not before Settings.RetryAfter.
 func (c *Core) failUntil(call Call, id durable.JobID, kind failure.Kind, better time.Duration) {
 	c.reply(Reply{Call: call, ID: id, Failure: kind, RetryAfter: max(c.cfg.RetryAfter, better)})
 	c.note(Note{What: CallFailed, Job: id, Reason: kind.String()})
@@ -106,7 +105,7 @@
 		return
 	}
 	s.Epoch = p.epoch
-	j := newJob(s, now)
+	j := c.newJob(s, now)
 	j.calls = append(j.calls, call)
 	c.callers[call] = waitingCall{s.ID, now}
 	p.jobs[s.ID] = j
--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -12,6 +12,7 @@
 	JobKept             Decision = "job_kept"              // the store has it
 	JobRefused          Decision = "job_refused"           // on arrival: it would have waited too long
 	JobGivenUp          Decision = "job_given_up"          // it had not begun in time
+	RefusalBesideRoom   Decision = "refusal_beside_room"   // a fault: a job was to be refused though there is room for all of it; it was not
 	RunOrdered          Decision = "run_ordered"           // sent to a worker
 	RunEnded            Decision = "run_ended"             // reported by its worker
 	RunAbsent           Decision = "run_absent"            // the worker does not know it: it never began
@@ -40,6 +41,7 @@
 	JobAgeMS        Measure = "job_age_ms"       // since the job came
 	RunMS           Measure = "run_ms"           // how long the run took, by its worker
 	WaitMS          Measure = "wait_ms"          // how long the job would have waited; the limit is how long it may
+	WaitingTasks    Measure = "waiting_tasks"    // that could begin
 	SilentMS        Measure = "silent_ms"        // since the worker's last status
 	WorkersThere    Measure = "workers_there"    // connected workers in the data centre
 	RunsThere       Measure = "runs_there"       // runs of ours at the worker
@@ -60,6 +62,8 @@
 	Measure Measure // what Value is; empty if there is none
 	Value   int64
 	Limit   int64 // what Value was compared with; 0 if with nothing
+	// Forecast is what the job waits for, of one that is refused for its wait; else nil.
+	Forecast *Forecast
 	// Frequent marks a decision of which there may be many a second in ordinary
 	// work: such lines are sampled.
 	Frequent bool
--- a/jobs/scheduler/evacuations.go
+++ b/jobs/scheduler/evacuations.go
@@ -106,7 +106,7 @@
 	c.servedAt = now.Add(-startupGrace)
 	for _, j := range ordered.Values(c.bestEffort) {
 		if !j.begun() {
-			c.refuseUnstarted(now, j)
+			c.refuseUnstarted(now, j, reasonAllEvacuated, nil)
 		}
 	}
 }
--- a/jobs/scheduler/job.go
+++ b/jobs/scheduler/job.go
@@ -17,6 +17,7 @@
 	accepted bool          // the submission is in the store, or need not be
 	ran      bool          // a task has run, or may have
 	assigned int           // tasks that are with workers
+	class    int           // its place among classes; 0 is the most urgent
 	tasks    []task
 	left     int   // tasks that are not done
 	stepLeft []int // the same, by step
@@ -43,8 +44,8 @@
 	ref    wire.RunRef
 }
 
-func newJob(s *durable.Submission, now time.Time) *job {
-	j := &job{sub: s, id: s.ID, received: now, left: s.Tasks(), stepLeft: make([]int, len(s.Steps))}
+func (c *Core) newJob(s *durable.Submission, now time.Time) *job {
+	j := &job{sub: s, id: s.ID, received: now, class: c.cfg.Load.class(s.Queue.Priority), left: s.Tasks(), stepLeft: make([]int, len(s.Steps))}
 	j.tasks = make([]task, 0, j.left)
 	for i := range s.Steps {
 		step := &s.Steps[i]
--- a/jobs/scheduler/partition.go
+++ b/jobs/scheduler/partition.go
@@ -79,7 +79,7 @@
 	if s.Submission == nil {
 		return nil
 	}
-	j := newJob(s.Submission, now)
+	j := c.newJob(s.Submission, now)
 	j.accepted = true
 	j.unsettled = true
 	j.restore(s.Progress)
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -78,6 +78,11 @@
 	evacuatedAt   map[string]time.Time // since when each is known
 	refusals      map[string]*refusals // of late, by queue
 
+	// Who is served when not all fit.
+	flows   map[string][]*flow   // what came of late to the queues of each service, by name
+	judged  map[string]judgement // of the queue of each service
+	returns [lastClass + 1]int   // calls that were told when to come back, by class
+
 	effects Effects
 }
 
@@ -98,6 +103,8 @@
 		demands:     make(map[string]*demand),
 		evacuatedAt: make(map[string]time.Time),
 		refusals:    make(map[string]*refusals),
+		flows:       make(map[string][]*flow),
+		judged:      make(map[string]judgement),
 	}
 }
 
@@ -121,6 +128,7 @@
 	c.tickPartitions(now)
 	c.tickCallers(now)
 	c.giveUpUseless(now, serving)
+	c.judgeQueues(now)
 	c.tickWatchers(now)
 	c.forgetCrashes(now)
 	c.resumeTasks(now)
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -45,30 +45,6 @@
 	return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.number, b.number))
 }
 
-// turn is the order of the tasks that are on time: what is left of jobs that
-// have begun first, in the order in which they came, then by the time halfway to
-// the due time, so that tight jobs go before loose ones of the same moment, with a head
-// start for queues of the first priority.
-func (t *task) turn() time.Time {
-	if t.job.begun() {
-		return t.job.received.Add(-begunFirst)
-	}
-	return t.job.received.Add(t.due.Sub(t.job.received)/2 - t.job.headStart())
-}
-
-// begunFirst is taken off the turn of what is left of jobs that have begun; it
-// is more than any task waits, so that they come before all others.
-const begunFirst = time.Hour
-
-// isOverdue returns whether the task should only have what room others leave. A
-// job that has begun is finished as long as its answer is of use.
-func (t *task) isOverdue(now time.Time) bool {
-	if t.job.begun() {
-		return now.After(t.job.uselessAt)
-	}
-	return now.After(t.due)
-}
-
 // runsPerEpoch is how many run numbers of a task each owner of a partition may use: the
 // numbers of a later owner are above them. A hand-back uses one up, each 2 to 3 ms at the
 // most. Chosen, not measured: enough for ten seconds of hand-backs, and for 262,144 changes
