scheduler: count for a class what is in time, and let earlier ones come first in need

Change: a job that ends late counts as not taken; the least of a class is half of the best for the last and a little more for each before it, and never more than an earlier one gets.

--- a/jobs/scheduler/besteffort.go
+++ b/jobs/scheduler/besteffort.go
@@ -75,7 +75,10 @@
 func (c *Core) HasBestEffort(id durable.JobID) bool { return c.bestEffort[id] != nil }
 
 // answerBestEffort tells the callers of a job's end, and forgets it.
-func (c *Core) answerBestEffort(j *job) {
+func (c *Core) answerBestEffort(now time.Time, j *job) {
+	if now.After(j.due) {
+		c.given(now, j)
+	}
 	for _, call := range j.calls {
 		c.reply(Reply{Call: call, ID: j.id, State: j.state})
 	}
--- a/jobs/scheduler/ends.go
+++ b/jobs/scheduler/ends.go
@@ -115,7 +115,7 @@
 		}
 	}
 	if j.sub.BestEffort {
-		c.answerBestEffort(j)
+		c.answerBestEffort(now, j)
 		return
 	}
 	c.change(now, j)
--- a/jobs/scheduler/flows.go
+++ b/jobs/scheduler/flows.go
@@ -13,18 +13,21 @@
 	class   int
 	at      time.Time // until when it has faded
 	offered float64   // thousandths of a core x nanoseconds
-	taken   float64   // the same, of what was not refused
+	taken   float64   // the same, of what was neither refused nor late
 	turns   float64   // offered work x nanoseconds from its coming to its turn
 }
 
 // flowSpan is over how long flows fade to 1/e.
 const flowSpan = time.Second
 
+// faded returns what is left of 1 after a while.
+func faded(d time.Duration) float64 { return math.Exp(-float64(d) / float64(flowSpan)) }
+
 func (f *flow) fade(now time.Time) {
 	if now.Equal(f.at) {
 		return
 	}
-	keep := math.Exp(-float64(now.Sub(f.at)) / float64(flowSpan))
+	keep := faded(now.Sub(f.at))
 	f.offered, f.taken, f.turns = keep*f.offered, keep*f.taken, keep*f.turns
 	f.at = now
 }
@@ -78,20 +81,23 @@
 	f.turns += work * float64(j.tasks[0].turn().Sub(now))
 }
 
-// taken notes that a job has been let in; given that it was refused after all.
+// taken notes that a job has been let in; given that it was refused after all, or was late.
 func (c *Core) taken(now time.Time, j *job) { c.flowOf(now, j).taken += j.work() }
 
 func (c *Core) given(now time.Time, j *job) {
 	f := c.flowOf(now, j)
-	f.taken = max(0, f.taken-j.work())
+	f.taken = max(0, f.taken-j.work()*faded(now.Sub(j.received)))
 }
 
-// leastOfBest is how much of a class is taken at least, as a share of the class of which most
-// is: half, and some for jobs that are let in and end late.
-const leastOfBest = 0.55
+// How much of a class is taken at least, as a share of the class of which most is: of the last
+// half, of each before it a little more.
+const (
+	leastOfBest     = 0.5
+	leastOfBestStep = 0.05
+)
 
 // leftBehind returns whether of the class too little has been taken of late: less than
-// leastOfBest, than of any more urgent class, and than an even part among the classes that ask of
+// its least, than of any more urgent class, and than an even part among the classes that ask of
 // ours, our share of the capacity in thousandths of a core. So a class that asks for more pays
 // for it itself, and none is served better than a more urgent one.
 func (c *Core) leftBehind(now time.Time, service string, class int, ours float64) bool {
@@ -115,7 +121,8 @@
 		}
 	}
 	even := ours * float64(flowSpan) / max(1, classes)
-	return taken[class] < min(leastOfBest*best*offered[class], urgent*offered[class], even)
+	least := leastOfBest + leastOfBestStep*float64(lastClass-class)
+	return taken[class] < min(least*best*offered[class], urgent*offered[class], even)
 }
 
 // arrivals is the work that will come and has its turn before a job's.
