--- a/jobs/scheduler/admission.go
+++ b/jobs/scheduler/admission.go
@@ -56,7 +56,7 @@
 		return f, ""
 	}
 	f = c.forecastNew(now, s, first)
-	if f.Wait() > f.Allowed && c.leftBehind(now, service, j.class, s.ours()) {
+	if f.Wait() > f.Allowed && c.leftBehind(now, j, s.ours()) {
 		j.class = 0
 		f = c.forecastNew(now, s, first)
 	}
--- a/jobs/scheduler/flows.go
+++ b/jobs/scheduler/flows.go
@@ -96,16 +96,17 @@
 	leastOfBestStep = 0.05
 )
 
-// leftBehind returns whether of the class too little has been taken of late: less than
-// its least, than of any more urgent class, and than an even part among the classes that ask of
-// ours, our share of the capacity in thousandths of a core. So a class that asks for more pays
-// for it itself, and none is served better than a more urgent one.
-func (c *Core) leftBehind(now time.Time, service string, class int, ours float64) bool {
+// leftBehind returns whether of the job's class too little has been taken of late: with half of
+// the job less than its least, and without it less than of any more urgent class and than an even
+// part among the classes that ask of ours, our share of the capacity in thousandths of a core. So a
+// class that asks for more pays for it itself, and none is served better than a more urgent one.
+func (c *Core) leftBehind(now time.Time, j *job, ours float64) bool {
+	class := j.class
 	if !c.cfg.Load.OrderByPriority || class == 0 {
 		return false
 	}
 	var offered, taken [lastClass + 1]float64
-	for _, f := range c.flowsNow(now, service) {
+	for _, f := range c.flowsNow(now, j.sub.Queue.Service) {
 		offered[f.class] += f.offered
 		taken[f.class] += f.taken
 	}
@@ -122,7 +123,7 @@
 	}
 	even := ours * float64(flowSpan) / max(1, classes)
 	least := leastOfBest + leastOfBestStep*float64(lastClass-class)
-	return taken[class] < min(least*best*offered[class], urgent*offered[class], even)
+	return taken[class]+j.work()/2 <= least*best*offered[class] && taken[class] < min(urgent*offered[class], even)
 }
 
 // arrivals is the work that will come and has its turn before a job's.
