--- a/jobs/scheduler/flows.go
+++ b/jobs/scheduler/flows.go
@@ -90,9 +90,9 @@
 }
 
 // How much of a class is taken at least, as a share of the class of which most is: of the last
-// half, of each before it a little more.
+// half and a little for jobs that come late or whole, of each before it a little more.
 const (
-	leastOfBest     = 0.5
+	leastOfBest     = 0.55
 	leastOfBestStep = 0.05
 )
 
