--- a/jobs/scheduler/classes_test.go
+++ b/jobs/scheduler/classes_test.go
@@ -84,7 +84,10 @@
 		{"middle and last", []int{middle, last}},
 		{"all", []int{urgent, middle, last}},
 	} {
-		t.Run(c.name, func(t *testing.T) { checkClasses(t, deskKinds(0), playLoads(bursting(c.kinds...)).kinds) })
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			checkClasses(t, deskKinds(0), playLoads(bursting(c.kinds...)).kinds)
+		})
 	}
 }
 
@@ -130,6 +133,7 @@
 	const margin = 0.06 // two standard deviations of a share of 300 jobs
 	for i, flood := range deskKinds(0) {
 		t.Run(flood.name, func(t *testing.T) {
+			t.Parallel()
 			set := bursting()
 			set.kinds[i].perS *= 5
 			out := playLoads(set).kinds
