--- a/jobs/room/room.go
+++ b/jobs/room/room.go
@@ -10,6 +10,7 @@
 package room
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -152,15 +153,27 @@
 			}
 		}
 	}
-	slices.SortFunc(rows, func(a, b wire.WaitingWork) int { return int(a.Priority) - int(b.Priority) })
-	return rows[:min(len(rows), mostWaits)]
+	slices.SortFunc(rows, func(a, b wire.WaitingWork) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.FirstMS, b.FirstMS))
+	})
+	return rows[:min(len(rows), mostRows)]
 }
 
-// merge adds the work to the row of its priority.
+const (
+	// mostRows is how many rows tell what waits: of four priorities each what has begun, is
+	// on time and is overdue.
+	mostRows = 12
+	// farApart is how far the turns are apart of work that is not told in one row:
+	// coordinators put what has begun far before all else, and what is overdue far after.
+	farApart = 5 * time.Minute
+)
+
+// merge adds the work to the row of its priority that is near its turns.
 func merge(rows []wire.WaitingWork, work wire.WaitingWork) []wire.WaitingWork {
 	for i := range rows {
 		r := &rows[i]
-		if r.Priority != work.Priority {
+		apart := max(r.FirstMS-work.FirstMS, work.FirstMS-r.FirstMS)
+		if r.Priority != work.Priority || apart > farApart.Milliseconds() {
 			continue
 		}
 		r.FirstMS = min(r.FirstMS, work.FirstMS)
--- a/jobs/room/room_test.go
+++ b/jobs/room/room_test.go
@@ -1,6 +1,7 @@
 package room_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -166,6 +167,18 @@
 		return f
 	}
 
+	It("tells what has begun and what is overdue apart from what is on time", func() {
+		f := newFixture()
+		const far = 20 * 60 * 1000
+		for _, first := range []int64{-far, 30, 40, far} {
+			f.ask(fmt.Sprint("of ", first), waits(1, 1, first, 0))
+		}
+		Expect(f.table.Waiting(f.now, "a")).To(HaveExactElements(
+			HaveField("FirstMS", int64(-far)),
+			And(HaveField("FirstMS", int64(30)), HaveField("LastMS", int64(40))),
+			HaveField("FirstMS", int64(far))))
+	})
+
 	It("ends with the connection of its owner", func() {
 		f := held()
 		f.table.Gone("a")
--- a/jobs/scheduler/asks.go
+++ b/jobs/scheduler/asks.go
@@ -63,6 +63,12 @@
 	return a
 }
 
+// asking returns whether room is asked for, since tasks of the service fit nowhere.
+func (c *Core) asking(service string) bool {
+	a := c.asks[service]
+	return a != nil && len(a.workers) > 0
+}
+
 // hearRoom notes what a status says of room that was asked for.
 func (c *Core) hearRoom(w *worker) {
 	if w.ask.told || !w.ask.suits(w.free()) {
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -67,11 +67,13 @@
 	Fenced   []uint32         // partitions of the receiver that another owner has claimed
 	Identity *BackendIdentity // nil while it is that of the last status on the connection
 	// Waiting is the work that waits here for room at other coordinators than the receiver,
-	// by priority; empty while nobody else asks.
+	// by priority and turn; empty while nobody else asks.
 	Waiting []WaitingWork
 }
 
-// WaitingWork is the work of one priority that coordinators wait to start at a worker.
+// WaitingWork is the work of one priority that coordinators wait to start at a worker. What is
+// left of jobs that have begun has turns far in the past, what is overdue far in the future; they
+// are told apart from what is on time.
 type WaitingWork struct {
 	Priority int32 // of the queues; 0 comes first
 	// FirstMS and LastMS are the turns of the first and the last task, in milliseconds from
@@ -93,7 +95,8 @@
 	Waits []RoomWait
 }
 
-// RoomWait is what waits of one priority.
+// RoomWait is what waits of one priority, of about one size, and has begun or not: an ask may
+// have several of a priority.
 type RoomWait struct {
 	WaitingWork
 	Need  durable.Resources // of the first task
