--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -230,6 +230,12 @@
 	e := n.table.Take(n.now())
 	for _, note := range e.Notes {
 		n.w.trace(n.incarnation(), note.Ref.Task.String(), "%s run %d %s", note.What, note.Ref.Run, note.Reason)
+		switch note.What {
+		case runtable.GrantMade:
+			n.w.counts["grants"]++
+		case runtable.GrantLapsed:
+			n.w.counts["grants lapsed"]++
+		}
 	}
 	for _, s := range e.Sends {
 		if c := n.conns[s.Owner]; c != nil {
