--- a/wire/messages.go
+++ b/wire/messages.go
@@ -14,7 +14,7 @@
 
 // Version is the version of this protocol. Peers of another version are
 // refused at Hello.
-const Version = 6
+const Version = 7
 
 // Role says what a process is.
 type Role uint8
