--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -68,6 +68,7 @@
 	}
 	passed = append(passed, held...)
 	for _, t := range passed {
+		t.queued = t.turn() // others of its job may have been ordered meanwhile
 		heap.Push(q, t)
 	}
 	return len(passed) == 0
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -38,7 +38,7 @@
 	check     string    // checkpoint to resume from
 	held      bool      // has held out for a quicker place
 	due       time.Time // by when it has to begin for the job to be on time
-	queued    time.Time // its turn, while it is in a heap: that changes with setBegun alone
+	queued    time.Time // its turn, while it is in a heap
 	heap      *taskHeap
 	position  int // in heap; -1 when it is in none
 }
