--- a/commands/faults_test.go
+++ b/commands/faults_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/metrics"
 )
@@ -20,7 +21,7 @@
 func TestFaultsAreHeard(t *testing.T) {
 	core, lines := observer.New(zapcore.WarnLevel)
 	log := &logging.Log{Logger: zap.New(core)}
-	d := &jobDaemon{log: log, metrics: metrics.NewJobs(tally.NoopScope, nil)}
+	d := &jobDaemon{log: log, metrics: metrics.NewJobs(tally.NoopScope, nil, scheduler.Classes)}
 	const many = 10_000
 	for range many {
 		log.Sampled(time.Now(), "run_ordered")
--- a/commands/jobdaemon.go
+++ b/commands/jobdaemon.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/config"
+	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/lib/web"
 	"github.com/lichenfall/lichenfall/metrics"
@@ -47,7 +48,7 @@
 		return usageError(err)
 	}
 	d.reg = metrics.New(role)
-	d.metrics = metrics.NewJobs(d.reg.Scope, platform.StoreCallKinds())
+	d.metrics = metrics.NewJobs(d.reg.Scope, platform.StoreCallKinds(), scheduler.Classes)
 	d.store = platform.NewStore(c.store.Address, d.report).Metered(d.metrics)
 	d.admin, err = operate(c.admin.Listen, d.reg, d.log, &d.state)
 	return err
--- a/jobs/coordinator/perform.go
+++ b/jobs/coordinator/perform.go
@@ -43,6 +43,12 @@
 	for i := range e.Notes {
 		c.logNote(now, &e.Notes[i])
 	}
+	for _, b := range e.Begun {
+		c.metrics.JobBegun(b.Class, b.Waited)
+	}
+	for _, class := range e.Refused {
+		c.metrics.JobRefused(class)
+	}
 	if e.Fenced || e.Confirm {
 		c.joinSoon()
 	}
--- a/jobs/local/cluster.go
+++ b/jobs/local/cluster.go
@@ -16,6 +16,7 @@
 	"github.com/lichenfall/lichenfall/jobs/fakebackend"
 	"github.com/lichenfall/lichenfall/jobs/fakestore"
 	"github.com/lichenfall/lichenfall/jobs/routing"
+	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/jobs/worker"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/lib/ports"
@@ -105,7 +106,7 @@
 		cfg.Box.DataCentre = c.opts.DataCentres[i%n]
 	}
 	cfg.Peers.Listen = ports.Any
-	w, err := worker.Start(cfg, c.Backends[i], c.Store, metrics.NewJobs(tally.NoopScope, nil), c.opts.Log)
+	w, err := worker.Start(cfg, c.Backends[i], c.Store, metrics.NewJobs(tally.NoopScope, nil, scheduler.Classes), c.opts.Log)
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +132,7 @@
 	if c.opts.Subset != (config.Subset{}) {
 		cfg.Subset = c.opts.Subset
 	}
-	k, err := coordinator.Start(cfg, c.Store, metrics.NewJobs(tally.NoopScope, nil), c.opts.Log)
+	k, err := coordinator.Start(cfg, c.Store, metrics.NewJobs(tally.NoopScope, nil, scheduler.Classes), c.opts.Log)
 	if err != nil {
 		return err
 	}
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -122,6 +122,10 @@
 	t.worker = w
 	t.startSeq = 0
 	c.demandOf(t.job.sub.Queue.Service).use(t.step.Need.CPU)
+	if !t.job.begun() {
+		class := c.cfg.Load.class(t.job.sub.Queue.Priority)
+		c.effects.Begun = append(c.effects.Begun, JobBegun{Class: class, Waited: now.Sub(t.job.received)})
+	}
 	c.setBegun(now, t.job, t.job.assigned+1, t.job.ran)
 	w.assigned[t] = struct{}{}
 }
--- a/jobs/scheduler/effects.go
+++ b/jobs/scheduler/effects.go
@@ -16,10 +16,19 @@
 	Reconnect []string         // workers whose connection is to be closed and dialled again
 	Crashes   []wire.TaskCrash // other coordinators are to be told of
 	Notes     []Note
+	Begun     []JobBegun // jobs of which a first task was ordered
+	Refused   []int      // the classes of calls that were refused for want of room
 	Confirm   bool // ask the store soon whether our partitions are still ours
 	Fenced    bool // a newer owner exists: look at once which partitions are ours
 }
 
+// JobBegun is a job of which a first task was ordered; one whose tasks were all handed back
+// counts again.
+type JobBegun struct {
+	Class  int           // by its queue's priority; 0 to Classes-1
+	Waited time.Duration // since it came
+}
+
 // ToWorker is a message to a worker, by its address.
 type ToWorker struct {
 	Worker  string
--- a/jobs/scheduler/returns.go
+++ b/jobs/scheduler/returns.go
@@ -19,6 +19,7 @@
 	class := c.cfg.Load.class(s.Queue.Priority)
 	later := time.Duration(c.returns[class]%(waves+class)) * time.Second
 	c.returns[class]++
+	c.effects.Refused = append(c.effects.Refused, class)
 	better := c.cfg.RetryAfter
 	if f != nil {
 		better = max(better, f.Wait()-f.Allowed)
--- a/jobs/scheduler/turn.go
+++ b/jobs/scheduler/turn.go
@@ -10,6 +10,9 @@
 // held up by more than lastClass times classStep of arrivals.
 const lastClass = 3
 
+// Classes is how many classes there are.
+const Classes = lastClass + 1
+
 // class returns the class of a queue with the priority; 0 is the most urgent.
 func (l *LoadPolicy) class(priority int32) int {
 	last := int32(1)
--- a/metrics/jobs.go
+++ b/metrics/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,10 +23,34 @@
 	records   tally.Counter
 	store     map[string]storeCounters
 	commit    tally.Histogram
+	classes   []classCounters // by class
 	mu        sync.Mutex
 	decisions map[string]tally.Counter
 }
 
+// classCounters count the jobs of one class, which follows from the priority of their queue.
+type classCounters struct {
+	refused tally.Counter   // for want of room
+	wait    tally.Histogram // from coming to the order of a first task
+}
+
+func newClassCounters(s tally.Scope, classes int) []classCounters {
+	out := make([]classCounters, classes)
+	for class := range out {
+		tagged := s.Tagged(map[string]string{"class": strconv.Itoa(class)})
+		out[class] = classCounters{refused: tagged.Counter("jobs_refused"), wait: tagged.Histogram("job_wait", latencies)}
+	}
+	return out
+}
+
+// JobRefused counts a call of the class that was refused for want of room.
+func (j *Jobs) JobRefused(class int) { j.classes[class].refused.Inc(1) }
+
+// JobBegun counts a job of the class of which a first task was ordered after so long.
+func (j *Jobs) JobBegun(class int, waited time.Duration) {
+	j.classes[class].wait.RecordDuration(waited)
+}
+
 // latencies are the bounds of the histograms.
 var latencies = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
@@ -60,8 +85,9 @@
 	c.bytes[peer.In].Inc(int64(received))
 }
 
-// NewJobs returns the counters, all at zero. storeCalls are the kinds of calls to the store.
-func NewJobs(s tally.Scope, storeCalls []string) *Jobs {
+// NewJobs returns the counters, all at zero. storeCalls are the kinds of calls to the store,
+// classes is how many classes of jobs there are.
+func NewJobs(s tally.Scope, storeCalls []string, classes int) *Jobs {
 	var kinds []string
 	for _, r := range failure.Table() {
 		kinds = append(kinds, r.Name)
@@ -79,6 +105,7 @@
 		commits:   labelled(s, "commits", "result", []string{"ok", "refused", "fenced", "lost", other}),
 		records:   s.Counter("commit_records"),
 		commit:    s.Histogram("commit_time", latencies),
+		classes:   newClassCounters(s, classes),
 		decisions: make(map[string]tally.Counter),
 	}
 }
