all: say in comments what a constant is for, not how it was come by

Cause: the house rule that code does not say whether a value was chosen or measured, nor tells its tuning.

--- a/commands/coordinator.go
+++ b/commands/coordinator.go
@@ -57,8 +57,8 @@
 	return nil
 }
 
-// The part of the grace for which callers are served after a stop signal. Chosen,
-// not measured: the balancer takes up to 2 s to see that we are not ready.
+// The part of the grace for which callers are served after a stop signal. The balancer takes
+// up to 2 s to see that we are not ready.
 const (
 	drainPart  = 3 // fifths of it
 	drainWhole = 5 // the others are for requests in flight
--- a/commands/status.go
+++ b/commands/status.go
@@ -33,7 +33,7 @@
 	} `positional-args:"yes"`
 }
 
-// statusTimeout is for one question. Chosen, not measured.
+// statusTimeout is for one question.
 const statusTimeout = 5 * time.Second
 
 // Execute runs the command.
--- a/commands/submit.go
+++ b/commands/submit.go
@@ -34,8 +34,7 @@
 	NotRepeatable bool          `long:"not-repeatable" description:"must run at most once whatever happens"`
 }
 
-// slack is how long after the deadline an answer is still waited for. Chosen, not
-// measured.
+// slack is how long after the deadline an answer is still waited for.
 const slack = 5 * time.Second
 
 // Execute runs the command.
--- a/commands/worker.go
+++ b/commands/worker.go
@@ -20,8 +20,7 @@
 	jobDaemon
 }
 
-// workerConns is how many connections the backend server may have to us. Chosen,
-// not measured: it needs one.
+// workerConns is how many connections the backend server may have to us. It needs one.
 const workerConns = 16
 
 // Execute runs the command.
--- a/config/ownership.go
+++ b/config/ownership.go
@@ -10,15 +10,15 @@
 	// TTL is how long a join holds: after it another coordinator gets the partitions.
 	// The least that the store grants is 1 s; design 0004 adds up a takeover.
 	TTL         Duration `json:"ttl"`
-	Join        Duration `json:"join"`         // between joins; chosen, not measured: four of them fit into a TTL
-	CallLimit   Duration `json:"call_limit"`   // for one join; chosen, not measured: within a TTL
-	AppendLimit Duration `json:"append_limit"` // for one append, before it is repeated; chosen, not measured
-	ReadLimit   Duration `json:"read_limit"`   // to read a partition; chosen, not measured
-	// Announce is the time between announcements to other coordinators, where they
-	// would send a call to the wrong place. Chosen, not measured.
+	Join        Duration `json:"join"`         // between joins; four of them fit into a TTL
+	CallLimit   Duration `json:"call_limit"`   // for one join; within a TTL
+	AppendLimit Duration `json:"append_limit"` // for one append, before it is repeated
+	ReadLimit   Duration `json:"read_limit"`   // to read a partition
+	// Announce is the time between announcements to other coordinators, where they would send
+	// a call to the wrong place.
 	Announce     Duration `json:"tell"`
-	Flush        Duration `json:"flush"`         // longest wait for the store at a planned stop; chosen, not measured
-	ReconnectMax Duration `json:"reconnect_max"` // longest pause before a lost peer is dialled; chosen, not measured
+	Flush        Duration `json:"flush"`         // longest wait for the store at a planned stop
+	ReconnectMax Duration `json:"reconnect_max"` // longest pause before a lost peer is dialled
 }
 
 // DefaultOwnership returns the defaults of Ownership.
--- a/config/runs.go
+++ b/config/runs.go
@@ -11,15 +11,14 @@
 // backend server grants.
 type Runs struct {
 	Partitions uint32 `json:"partitions"` // of the store; the users' platform sets it
-	// OwnerLease is how long a coordinator's heartbeat keeps the runs of its kept
-	// jobs: eight heartbeats, so that no short pause stops work. Design 0004 adds up
-	// the leases; chosen, not measured.
+	// OwnerLease is how long a coordinator's heartbeat keeps the runs of its kept jobs: eight
+	// heartbeats, so that no short pause stops work. Design 0004 adds up the leases.
 	OwnerLease Duration `json:"owner_lease"`
 	// BestEffortLease is the same for best-effort jobs. With StopGrace it is less than
 	// the 1.3 s after which a caller without an answer sends a job again.
 	BestEffortLease Duration `json:"best_effort_lease"`
-	// StopGrace is the time from the end of an owner's lease to stop its runs one by
-	// one. Chosen, not measured: three calls.
+	// StopGrace is the time from the end of an owner's lease to stop its runs one by one.
+	// Three calls.
 	StopGrace Duration `json:"stop_grace"`
 	// BackendLease is the longest lease that the backend server grants; the users'
 	// platform sets it. No more than leaseAsked is asked for.
@@ -29,27 +28,25 @@
 	// RenewLimit more: with 100 and 60 ms, four times as many jobs were late while a
 	// fifteenth of the calls had no answer.
 	RenewWait Duration `json:"hold_renew"`
-	// CalmRenewWait is the same at any other time. Chosen, not measured: a tenth of the
-	// lease.
+	// CalmRenewWait is the same at any other time. A tenth of the lease.
 	CalmRenewWait Duration `json:"calm_renew"`
 	// RenewPatience is how long the answer to a renewal may take beyond its wait before
-	// another is made beside it: a renewal that is lost makes the worker deaf for so long
-	// and not for RenewLimit. Chosen, not measured: some ten times what an answer takes.
+	// another is made beside it: a renewal that is lost makes the worker deaf for so long and
+	// not for RenewLimit. Some ten times what an answer takes.
 	RenewPatience Duration `json:"renew_patience"`
 	// RenewLimit is for the answer to a renewal, beyond its wait; it doubles after each
-	// that had none, up to CallLimit. Measured with RenewWait.
+	// that had none, up to CallLimit.
 	RenewLimit Duration `json:"renew_limit"`
-	// Silence is how long the backend server may give no answer before it is called
-	// silent. Chosen, not measured: a quarter of the lease, and many renewals.
+	// Silence is how long the backend server may give no answer before it is called silent. A
+	// quarter of the lease, and many renewals.
 	Silence Duration `json:"silence"`
-	// StartLimit is when an unanswered start is stopped. Chosen, not measured: well
-	// within the 2 to 12 s in which it may still be carried out.
+	// StartLimit is when an unanswered start is stopped. Well within the 2 to 12 s in which it
+	// may still be carried out.
 	StartLimit Duration `json:"start_limit"`
-	// CallLimit is for one call of the backend server. Chosen, not measured: some
-	// twenty times what one takes.
+	// CallLimit is for one call of the backend server. Some twenty times what one takes.
 	CallLimit Duration `json:"call_limit"`
-	// FirstLease is how long a fresh process waits for the owners of what it adopted.
-	// Chosen, not measured: a heartbeat and some.
+	// FirstLease is how long a fresh process waits for the owners of what it adopted. A
+	// heartbeat and some.
 	FirstLease Duration `json:"first_lease"`
 	Room       Room     `json:"room"`
 }
@@ -93,10 +90,10 @@
 }
 
 // leaseAsked is the longest lease that is asked of a backend server. For as long nobody knows
-// that the runs of a server which has fallen silent, or of a worker that is cut off, are
-// dead, and they are started nowhere else: a lease of 15 s, which some grant, would outlast
-// every caller. A worker renews it fifty times before it ends. Chosen, not measured: longer
-// than the pauses of a loaded box.
+// that the runs of a server which has fallen silent, or of a worker that is cut off, are dead,
+// and they are started nowhere else: a lease of 15 s, which some grant, would outlast every
+// caller. A worker renews it fifty times before it ends. Longer than the pauses of a loaded
+// box.
 const leaseAsked = Duration(time.Second)
 
 // Core returns the settings of the core of a worker in the data centre.
--- a/config/scheduler.go
+++ b/config/scheduler.go
@@ -9,9 +9,9 @@
 // Scheduler is the section on jobs and where their tasks run.
 type Scheduler struct {
 	Partitions uint32   `json:"partitions"` // of the store, the same everywhere; the users' platform sets it
-	Heartbeat  Duration `json:"heartbeat"`  // to each worker; chosen, not measured: an eighth of the owner lease
-	// Suspect is the silence after which a worker is connected to again. Chosen, not
-	// measured: three heartbeats and some.
+	Heartbeat  Duration `json:"heartbeat"`  // to each worker; an eighth of the owner lease
+	// Suspect is the silence after which a worker is connected to again. Three heartbeats and
+	// some.
 	Suspect Duration `json:"suspect"`
 	// The leases are those of the workers' section runs, which says where they come
 	// from. In the file, hold is the lease that a backend server grants.
@@ -25,22 +25,21 @@
 	// StoreWrites is how many writes a second the store takes of all processes together;
 	// the users' platform sets it. 0 sets no limit.
 	StoreWrites float64 `json:"store_writes"`
-	// LazyCommit is how long an end may wait that no caller waits for, so that ends
-	// share commits. Chosen, not measured.
+	// LazyCommit is how long an end may wait that no caller waits for, so that ends share
+	// commits.
 	LazyCommit Duration `json:"lazy_commit"`
-	// CallLimit is when a caller is told that the outcome is unknown. Chosen, not
-	// measured: less than the 1.3 s after which callers try again.
+	// CallLimit is when a caller is told that the outcome is unknown. Less than the 1.3 s
+	// after which callers try again.
 	CallLimit   Duration `json:"call_limit"`
 	RetryAfter  Duration `json:"retry_after"`  // what refused callers are told at least; the least that the header can say
-	CommitRetry Duration `json:"commit_retry"` // pause after the store refused; chosen, not measured
+	CommitRetry Duration `json:"commit_retry"` // pause after the store refused
 	KeepFinal   Duration `json:"keep_final"`   // how long the state of ended jobs is kept; the users' platform sets it
-	// StateWait is how long the answer to a question waits for a job's end, so that
-	// callers ask less often. Chosen, not measured.
+	// StateWait is how long the answer to a question waits for a job's end, so that callers
+	// ask less often.
 	StateWait Duration `json:"state_wait"`
 	MaxBatch  int      `json:"max_batch"` // bytes of one commit; half of what the store takes in a call
-	MaxJobs   int      `json:"max_jobs"`  // of one coordinator that have not ended; chosen, not measured
-	// A run is stopped as a straggler after so many times its estimate, and this much
-	// more. Chosen, not measured.
+	MaxJobs   int      `json:"max_jobs"`  // of one coordinator that have not ended
+	// A run is stopped as a straggler after so many times its estimate, and this much more.
 	StragglerX   float64    `json:"straggler_x"`
 	StragglerMin Duration   `json:"straggler_min"`
 	Load         LoadPolicy `json:"load"`
@@ -75,7 +74,7 @@
 // platform allows 2 %.
 const drift = 0.02
 
-// writeOffMargin is added since timers fire late. Chosen, not measured.
+// writeOffMargin is added since timers fire late.
 const writeOffMargin = 100 * time.Millisecond
 
 // writeOff returns how long after its last heartbeat a worker may still run what
@@ -109,8 +108,8 @@
 	c.span("scheduler.straggler_min", s.StragglerMin, 0, 60*second)
 }
 
-// commitShare is the share of the store's writes that commits may take; the rest is for
-// joins, fences and registrations. Chosen, not measured.
+// commitShare is the share of the store's writes that commits may take; the rest is for joins,
+// fences and registrations.
 const commitShare = 0.75
 
 // commitGap returns the least time between two commits of a partition with which all
--- a/jobs/coordinator/announce.go
+++ b/jobs/coordinator/announce.go
@@ -19,8 +19,8 @@
 	// job. It is less than the time after which a caller without an answer sends it
 	// again, 1.3 s on the users' platform.
 	longHeld = 800 * time.Millisecond
-	// announceAnyway is how old the counts that others have of us may get. Chosen,
-	// not measured; the users allow 2 s.
+	// announceAnyway is how old the counts that others have of us may get:
+	// the users allow 2 s.
 	announceAnyway = time.Second
 )
 
--- a/jobs/coordinator/api.go
+++ b/jobs/coordinator/api.go
@@ -57,8 +57,8 @@
 
 // Bounds of the product's own interface.
 const (
-	maxJobBody = 1 << 20          // bytes; chosen, not measured
-	callLimit  = 30 * time.Second // for one call; chosen, not measured
+	maxJobBody = 1 << 20          // bytes
+	callLimit  = 30 * time.Second // for one call
 )
 
 // Handler serves the product's own interface: POST /v1/jobs, GET and DELETE
--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -81,24 +81,23 @@
 }
 
 const (
-	// ackLimit is how long another process may say nothing after it was written to.
-	// Other coordinators are written to once a second, so a link that has gone silent is
-	// noticed 1 s after the first message that it lost. Chosen, not measured: within the
-	// 1.3 s after which callers send a job again.
+	// ackLimit is how long another process may say nothing after it was written to. Other
+	// coordinators are written to once a second, so a link that has gone silent is noticed 1 s
+	// after the first message that it lost. Within the 1.3 s after which callers send a job
+	// again.
 	ackLimit = time.Second
-	// readLimit is how long a process may say nothing that has to. Chosen, not measured:
-	// workers answer heartbeats, and coordinators announce something or ask for a word,
-	// once a second and more often.
+	// readLimit is how long a process may say nothing that has to. Workers answer heartbeats,
+	// and coordinators announce something or ask for a word, once a second and more often.
 	readLimit = 5 * time.Second
-	// backlog is how many events may wait for the control goroutine; whoever posts
-	// more has to wait. Chosen, not measured.
+	// backlog is how many events may wait for the control goroutine; whoever posts more has to
+	// wait.
 	backlog = 4096
-	// tickEvery is how often the core looks at the time: well below its shortest
-	// limit, of 100 ms. Chosen, not measured.
+	// tickEvery is how often the core looks at the time: well below its shortest limit, of 100
+	// ms.
 	tickEvery = 20 * time.Millisecond
 	// operatorsPause is the time between two readings of the operators' records while the
-	// store does not answer. Chosen, not measured: a thirtieth of the time in which an
-	// evacuation has to be heeded, at ten calls a second from each coordinator.
+	// store does not answer. A thirtieth of the time in which an evacuation has to be heeded,
+	// at ten calls a second from each coordinator.
 	operatorsPause = 100 * time.Millisecond
 )
 
--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -53,9 +53,9 @@
 	c.chooseWorkers(now)
 }
 
-// namedMembers is up to how many new processes of one reading are named in the log. Chosen,
-// not measured: at a start there are as many as boxes, and a line for each at each
-// coordinator would tell nothing that the store does not have.
+// namedMembers is up to how many new processes of one reading are named in the log. At a start
+// there are as many as boxes, and a line for each at each coordinator would tell nothing that
+// the store does not have.
 const namedMembers = 32
 
 // logNewMembers writes who is new: by address, or where there are many how many.
@@ -76,14 +76,14 @@
 }
 
 const (
-	// chooseEvery is how often the workers to connect to are chosen again; they are
-	// as soon as the registered processes change, too. Chosen, not measured.
+	// chooseEvery is how often the workers to connect to are chosen again; they are as soon as
+	// the registered processes change, too.
 	chooseEvery = time.Second
-	// workerLostAfter is how long a worker without connection still counts among
-	// those chosen. Chosen, not measured: longer than a restart takes.
+	// workerLostAfter is how long a worker without connection still counts among those chosen.
+	// Longer than a restart takes.
 	workerLostAfter = 2 * time.Second
-	// coordinatorGoneAfter is how long a coordinator without connection keeps its
-	// place in the ring. Chosen, not measured: longer than a replacement takes.
+	// coordinatorGoneAfter is how long a coordinator without connection keeps its place in the
+	// ring. Longer than a replacement takes.
 	coordinatorGoneAfter = 10 * time.Second
 )
 
--- a/jobs/coordinator/takeover.go
+++ b/jobs/coordinator/takeover.go
@@ -21,8 +21,7 @@
 	go c.read(ctx, partition, epoch)
 }
 
-// readPause is the pause after a reading of a partition that failed. Chosen, not
-// measured.
+// readPause is the pause after a reading of a partition that failed.
 const readPause = 50 * time.Millisecond
 
 // read fences earlier owners and reads what they left, once it is known which
--- a/jobs/coordinator/writer.go
+++ b/jobs/coordinator/writer.go
@@ -49,8 +49,8 @@
 	log       *logging.Log
 }
 
-// appendPause is the pause before an append without an answer is repeated.
-// Chosen, not measured: some ten times what an append takes.
+// appendPause is the pause before an append without an answer is repeated. Some ten times what
+// an append takes.
 const appendPause = 40 * time.Millisecond
 
 func (a *appender) append(ctx context.Context, c scheduler.Commit) scheduler.CommitResult {
--- a/jobs/durable/check.go
+++ b/jobs/durable/check.go
@@ -8,8 +8,8 @@
 // Bounds of a job.
 const (
 	MaxSpec  = 4000  // bytes; the users' bound
-	MaxSteps = 256   // of a job; chosen, not measured
-	MaxTasks = 10000 // of all steps; chosen, not measured: the users' largest jobs have 150
+	MaxSteps = 256   // of a job
+	MaxTasks = 10000 // of all steps; the users' largest jobs have 150
 )
 
 // FieldError names the field of a submission that is out of bounds.
--- a/jobs/durable/durable.go
+++ b/jobs/durable/durable.go
@@ -118,8 +118,7 @@
 	return n
 }
 
-// mostTimes bounds how often what needs nothing fits. Chosen, not measured: more than any
-// job has tasks.
+// mostTimes bounds how often what needs nothing fits. More than any job has tasks.
 const mostTimes = 1 << 20
 
 // Queue holds the settings of the queue that a job was submitted to, as they
--- a/jobs/local/cluster.go
+++ b/jobs/local/cluster.go
@@ -78,8 +78,8 @@
 	return c, nil
 }
 
-// registeredWithin bounds the wait for the processes of a Cluster to register. Chosen, not
-// measured: some times what it takes, 2 s.
+// registeredWithin bounds the wait for the processes of a Cluster to register. Some times what
+// it takes, 2 s.
 const registeredWithin = 10 * time.Second
 
 // awaitRegistered waits until the processes can find each other: workers that nobody tells
--- a/jobs/registration/registration.go
+++ b/jobs/registration/registration.go
@@ -28,13 +28,13 @@
 	// callLimit is how long one append may take: longer than the store lets appends wait for
 	// each other, 2 s, or it would be made again while the first still waits.
 	callLimit = 4 * time.Second
-	// toldWithin is how long a worker waits at least to be told what the store has: more
-	// than coordinators that run take to connect to it, 0.2 s. Up to as much again is added
-	// by chance, so that not all register in one moment. Chosen, not measured.
+	// toldWithin is how long a worker waits at least to be told what the store has: more than
+	// coordinators that run take to connect to it, 0.2 s. Up to as much again is added by
+	// chance, so that not all register in one moment.
 	toldWithin = time.Second
 	// putOffMost is how long a record is put off at most that the others can do without,
 	// evenly spread: they connect to the address that they know, and hear the rest there.
-	// Chosen, not measured: 240 appends of 4 ms each then fill a fifth of the time.
+	// So 240 appends of 4 ms each fill a fifth of the time.
 	putOffMost = 5 * time.Second
 )
 
--- a/jobs/runtable/crash.go
+++ b/jobs/runtable/crash.go
@@ -8,8 +8,8 @@
 )
 
 // keepCrashed is how long the crashed runs of kept jobs are remembered for their owners: the
-// backend server that listed them is gone. Chosen, not measured: some times what a new
-// owner of a partition takes to ask.
+// backend server that listed them is gone. Some times what a new owner of a partition takes to
+// ask.
 const keepCrashed = 30 * time.Second
 
 // crashedRun is a run that was lost with a life of the backend server that has crashed, or
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -6,9 +6,8 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// recentFor is how long the ends of best-effort runs are remembered, for an
-// owner whose connection broke. Chosen, not measured: longer than a coordinator
-// takes to connect again.
+// recentFor is how long the ends of best-effort runs are remembered, for an owner whose
+// connection broke. Longer than a coordinator takes to connect again.
 const recentFor = 5 * time.Second
 
 // end is an end that the backend server remembers until we acknowledge it.
--- a/jobs/runtable/evacuations.go
+++ b/jobs/runtable/evacuations.go
@@ -8,8 +8,8 @@
 )
 
 // unheardAfter is how old the coordinators' newest word of evacuations may get before the
-// worker reads the operators' records itself. Chosen, not measured: coordinators hear of
-// them once a second and more often, and the users allow 5 s in all.
+// worker reads the operators' records itself. Coordinators hear of them once a second and more
+// often, and the users allow 5 s in all.
 const unheardAfter = 2 * time.Second
 
 // HearEvacuations takes the data centres in which operators want no task started. The newest
--- a/jobs/runtable/lapse.go
+++ b/jobs/runtable/lapse.go
@@ -7,8 +7,7 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// lapseMargin is added to the end of the backend server's lease, since timers
-// fire late. Chosen, not measured.
+// lapseMargin is added to the end of the backend server's lease, since timers fire late.
 const lapseMargin = 50 * time.Millisecond
 
 // expireLeases looks for owners whose lease is over while something of theirs is
--- a/jobs/runtable/lives.go
+++ b/jobs/runtable/lives.go
@@ -19,9 +19,8 @@
 	Cold time.Duration
 }
 
-// maxSuperseded is how many lives that are over are remembered. Chosen, not measured:
-// a report that is later than so many crashes is not expected, and would only be asked
-// about once more.
+// maxSuperseded is how many lives that are over are remembered. A report that is later than so
+// many crashes is not expected, and would only be asked about once more.
 const maxSuperseded = 16
 
 // lastReport is the number of a report after which none of the life counts.
--- a/jobs/runtable/renew.go
+++ b/jobs/runtable/renew.go
@@ -21,9 +21,8 @@
 	return call, true
 }
 
-// wary is how long after a call without an answer the backend server is thought to leave
-// more of them unanswered. Chosen, not measured: some faults of a backend server last so
-// long.
+// wary is how long after a call without an answer the backend server is thought to leave more
+// of them unanswered. Some faults of a backend server last so long.
 const wary = 5 * time.Second
 
 // renewWait returns how long the next renewal may wait at the backend server for news.
--- a/jobs/runtable/toldspeed.go
+++ b/jobs/runtable/toldspeed.go
@@ -11,7 +11,7 @@
 // The log is told of another usual speed when it differs by more than tellFrom, and so often at
 // most.
 const (
-	tellFrom  = 0.1
+	tellFrom  = 0.1 // share of the figure told before
 	tellEvery = 10 * time.Second
 )
 
--- a/jobs/scheduler/commits.go
+++ b/jobs/scheduler/commits.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// Bounds of forgetting final states. Chosen, not measured.
+// Bounds of forgetting final states.
 const (
 	sweepEvery   = 5 * time.Second // between two looks at a partition's jobs
 	maxForgotten = 500             // records of one look
--- a/jobs/scheduler/crashmemory.go
+++ b/jobs/scheduler/crashmemory.go
@@ -8,8 +8,8 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// Bounds of what is remembered of crashes under best-effort jobs. Chosen, not measured: some
-// times as long as callers try, and some 2 MB.
+// Bounds of what is remembered of crashes under best-effort jobs. Some times as long as
+// callers try, and some 2 MB.
 const (
 	rememberCrashes = time.Minute
 	maxRemembered   = 10_000 // jobs
--- a/jobs/scheduler/demand.go
+++ b/jobs/scheduler/demand.go
@@ -12,13 +12,12 @@
 	began   time.Time // when that began: none had not fitted for demandSpan before
 }
 
-// demandSpan is for how long demand is remembered, and up to twice as long. Chosen, not
-// measured: longer than bursts are apart, so that connections do not come and go with
-// each.
+// demandSpan is for how long demand is remembered, and up to twice as long. Longer than bursts
+// are apart, so that connections do not come and go with each.
 const demandSpan = 10 * time.Second
 
-// spread is how many times the workers that our tasks fill we want to choose from.
-// Chosen, not measured: the others' tasks fill most of each.
+// spread is how many times the workers that our tasks fill we want to choose from. The others'
+// tasks fill most of each.
 const spread = 4
 
 func (c *Core) demandOf(service string) *demand {
--- a/jobs/scheduler/effects.go
+++ b/jobs/scheduler/effects.go
@@ -18,8 +18,8 @@
 	Notes     []Note
 	Begun     []JobBegun // jobs of which a first task was ordered
 	Refused   []int      // the classes of calls that were refused for want of room
-	Confirm   bool // ask the store soon whether our partitions are still ours
-	Fenced    bool // a newer owner exists: look at once which partitions are ours
+	Confirm   bool       // ask the store soon whether our partitions are still ours
+	Fenced    bool       // a newer owner exists: look at once which partitions are ours
 }
 
 // JobBegun is a job of which a first task was ordered; one whose tasks were all handed back
--- a/jobs/scheduler/flows.go
+++ b/jobs/scheduler/flows.go
@@ -89,11 +89,11 @@
 	f.taken = max(0, f.taken-j.work()*faded(now.Sub(j.received)))
 }
 
-// How much of a class is taken at least, as a share of the class of which most is: of the last nearly
-// as much, of each before it a little more.
+// How much of a class is taken at least, as a share of the class of which most is: of the last
+// nearly as much, of each before it a little more.
 const (
-	leastOfBest     = 0.9
-	leastOfBestStep = 0.05
+	leastOfBest     = 0.9  // of the last class
+	leastOfBestStep = 0.05 // more of each class before it
 )
 
 // leftBehind returns whether of the job's class too little has been taken of late: with half of
--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -99,7 +99,7 @@
 
 // The queue is judged anew when the cores have changed by this share, and after this time.
 const (
-	judgeChange = 0.05
+	judgeChange = 0.05 // share of the cores
 	judgeEvery  = 100 * time.Millisecond
 )
 
--- a/jobs/scheduler/job.go
+++ b/jobs/scheduler/job.go
@@ -68,8 +68,8 @@
 // of no use: the users count an answer as late up to then, and as nothing after.
 const uselessX = 3
 
-// underestimateX is how many times longer than estimated work may well take: a
-// job that has begun is not abandoned before. Chosen, not measured.
+// underestimateX is how many times longer than estimated work may well take: a job that has
+// begun is not abandoned before.
 const underestimateX = 2
 
 // schedule works out by when each task should begin.
--- a/jobs/scheduler/outliers.go
+++ b/jobs/scheduler/outliers.go
@@ -65,8 +65,7 @@
 
 // probeGap returns the time between two probes of an outlier by this coordinator. All that
 // share the worker probe it, each so much less often: a probe is a caller's task, and late
-// if the worker has not recovered. With one a second from each of eleven sharers, slow
-// servers made 8 % of all jobs late for as long as they were slow.
+// if the worker has not recovered.
 func (c *Core) probeGap(w *worker) time.Duration {
 	return time.Duration(float64(probeEvery) * max(1, c.sharers[w.identity.Service]))
 }
--- a/jobs/scheduler/round.go
+++ b/jobs/scheduler/round.go
@@ -17,8 +17,8 @@
 // scarceRoom is, what is surely in time on slow workers leaves the fast to what is tight.
 // Between them the preference turns by and by.
 const (
-	ampleRoom  = 0.3
-	scarceRoom = 0.1
+	ampleRoom  = 0.3 // share of all cores
+	scarceRoom = 0.1 // the same
 )
 
 // preferFast returns how much fast workers are preferred, by the room that there is.
--- a/jobs/scheduler/silences.go
+++ b/jobs/scheduler/silences.go
@@ -14,8 +14,8 @@
 // does not end one server more with each second of not knowing. An innocent task is held
 // up so long at the most.
 const (
-	silencesToWait = 2                       // servers; after one the task goes on at once; chosen, not measured
-	silenceWait    = 2500 * time.Millisecond // chosen, not measured: less than the 3 s for which the users let a job stand still
+	silencesToWait = 2                       // servers; after one the task goes on at once
+	silenceWait    = 2500 * time.Millisecond // less than the 3 s for which the users let a job stand still
 )
 
 // silence is a life of a backend server that fell silent under a run.
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -50,8 +50,8 @@
 
 // runsPerEpoch is how many run numbers of a task each owner of a partition may use: the
 // numbers of a later owner are above them. A hand-back uses one up, each 2 to 3 ms at the
-// most. Chosen, not measured: enough for ten seconds of hand-backs, and for 262,144 changes
-// of owner below wire.BestEffortRun.
+// most. Enough for ten seconds of hand-backs, and for 262,144 changes of owner below
+// wire.BestEffortRun.
 const runsPerEpoch = 4096
 
 // nextRun returns the number of the task's next run. Numbers of a later owner
--- a/jobs/scheduler/view.go
+++ b/jobs/scheduler/view.go
@@ -71,8 +71,8 @@
 // Refusals are counted for operators over a while, in steps: what goes wrong now, and not
 // what went wrong today.
 const (
-	refusalSpan  = 10 * time.Second // chosen, not measured
-	refusalSteps = 10               // of a second each, by which the count is too low at most
+	refusalSpan  = 10 * time.Second
+	refusalSteps = 10 // of a second each, by which the count is too low at most
 )
 
 // refusals counts the calls of one queue that were refused lately.
--- a/jobs/speed/latest.go
+++ b/jobs/speed/latest.go
@@ -4,7 +4,7 @@
 // for at most: eight tasks of one job over the same bad estimate do not make a server an
 // outlier.
 const (
-	latestWeight    = 0.08
+	latestWeight    = 0.08 // share of the new run
 	recoveredWeight = 0.3  // of a run that shows that a slowed server has recovered
 	latestReach     = 1.39 // logarithm of 4
 )
--- a/jobs/subset/subset.go
+++ b/jobs/subset/subset.go
@@ -28,9 +28,8 @@
 	Coverage int // coordinators that each worker should have at least
 }
 
-// Least is how many workers of a service a coordinator keeps connections to, however
-// little it asks of them: two of the widest jobs begin there at once. Chosen, not
-// measured.
+// Least is how many workers of a service a coordinator keeps connections to, however little it
+// asks of them: two of the widest jobs begin there at once.
 const Least = 12
 
 // Wanted is how many workers of each service the coordinator's own demand asks for. One
--- a/jobs/worker/operators.go
+++ b/jobs/worker/operators.go
@@ -13,7 +13,7 @@
 
 // operatorsPause is the time between two readings of the operators' records while the store
 // does not answer, and the most by which the first is put off, so that not all workers ask
-// at once. Chosen, not measured: 960 workers then make 960 of the store's 6,000 readings a
+// at once: 960 workers then make 960 of the store's 6,000 readings a
 // second, in its outages alone.
 const operatorsPause = time.Second
 
--- a/jobs/worker/perform.go
+++ b/jobs/worker/perform.go
@@ -71,7 +71,6 @@
 }
 
 // repeatPause is the pause after a call to the backend server without an answer.
-// Chosen, not measured.
 const repeatPause = 20 * time.Millisecond
 
 func (w *Worker) start(c runtable.StartCall) {
--- a/jobs/worker/registration.go
+++ b/jobs/worker/registration.go
@@ -8,7 +8,7 @@
 	"github.com/lichenfall/lichenfall/lib/loop"
 )
 
-// Bounds of the first questions of a process. Chosen, not measured.
+// Bounds of the first questions of a process.
 const (
 	identifyPause = 50 * time.Millisecond // between questions to the backend server
 	identifyTries = 20                    // after them its heartbeat has come
--- a/jobs/worker/renew.go
+++ b/jobs/worker/renew.go
@@ -8,15 +8,15 @@
 	"github.com/lichenfall/lichenfall/lib/loop"
 )
 
-// Pauses between renewals of the backend server's lease. Chosen, not measured.
+// Pauses between renewals of the backend server's lease.
 const (
 	renewGap   = 5 * time.Millisecond   // after one that was answered at once
 	renewRetry = 10 * time.Millisecond  // after one without an answer
 	renewIdle  = 100 * time.Millisecond // while none may be made
 )
 
-// maxRenewals is how many renewals may be on their way at once. Chosen, not measured: one
-// that listens, and some of which the answers are lost.
+// maxRenewals is how many renewals may be on their way at once. One that listens, and some of
+// which the answers are lost.
 const maxRenewals = 3
 
 // keepRenewing renews the lease and listens for ends: a renewal waits at the backend
--- a/jobs/worker/worker.go
+++ b/jobs/worker/worker.go
@@ -69,14 +69,14 @@
 }
 
 const (
-	// readLimit is how long a coordinator may say nothing. Chosen, not measured: its
-	// heartbeats come five times a second, and its lease is long over.
+	// readLimit is how long a coordinator may say nothing. Its heartbeats come five times a
+	// second, and its lease is long over.
 	readLimit = 5 * time.Second
-	// backlog is how many events may wait for the control goroutine; whoever posts
-	// more has to wait. Chosen, not measured.
+	// backlog is how many events may wait for the control goroutine; whoever posts more has to
+	// wait.
 	backlog = 2048
-	// tickEvery is how often the core looks at the time: well below its shortest
-	// limit, of 50 ms. Chosen, not measured.
+	// tickEvery is how often the core looks at the time: well below its shortest limit, of 50
+	// ms.
 	tickEvery = 25 * time.Millisecond
 )
 
--- a/lib/clock/clock.go
+++ b/lib/clock/clock.go
@@ -25,8 +25,8 @@
 }
 
 // A suspension shows as a leap of the time of day against the steady clock, which costs
-// nothing to look at; then, and now and then in case a step of the time of day has hidden
-// it, the operating system is asked. Chosen, not measured.
+// nothing to look at; then, and now and then in case a step of the time of day has hidden it,
+// the operating system is asked.
 const (
 	leapLeast = 5 * time.Millisecond   // less than any limit in a core
 	lookEvery = 250 * time.Millisecond // eight system calls a second
--- a/lib/logging/async.go
+++ b/lib/logging/async.go
@@ -13,11 +13,11 @@
 
 // Bounds of the log of one process.
 const (
-	asyncBytes     = 256 << 10 // that may wait to be written; chosen, not measured
+	asyncBytes     = 256 << 10 // that may wait to be written
 	sampledPerTick = 60        // sampled lines in each sampleTick; measured: 59 lines/s on a quiet day
-	faultsPerTick  = 5         // lines of one fault in each sampleTick; chosen, not measured
+	faultsPerTick  = 5         // lines of one fault in each sampleTick
 	sampleTick     = time.Second
-	flushInterval  = 50 * time.Millisecond // between writes; chosen, not measured
+	flushInterval  = 50 * time.Millisecond // between writes
 )
 
 // asyncWriter hands lines to a goroutine. It never blocks: when too much
--- a/lib/loop/loop.go
+++ b/lib/loop/loop.go
@@ -5,12 +5,12 @@
 
 import "time"
 
-// batch is how many events are handled before their effects are performed. Chosen, not
-// measured: some milliseconds of work.
+// batch is how many events are handled before their effects are performed. Some milliseconds
+// of work.
 const batch = 512
 
-// resumedLeast is how long a box has to be suspended to be called so. Chosen, not measured:
-// less than any limit in a core.
+// resumedLeast is how long a box has to be suspended to be called so. Less than any limit in a
+// core.
 const resumedLeast = 5 * time.Millisecond
 
 // Clock tells the time of a loop's steps.
--- a/lib/peer/conn.go
+++ b/lib/peer/conn.go
@@ -69,7 +69,7 @@
 	Advertise string // how peers reach this process, if not as it listens
 }
 
-// The defaults of Options. Chosen, not measured.
+// The defaults of Options.
 const (
 	DefaultBacklog      = 65536                  // messages
 	DefaultHelloTimeout = 2 * time.Second        // for the peer's first message
@@ -103,9 +103,8 @@
 	return o
 }
 
-// Sizes of buffers. Most messages are small, and a process has hundreds of
-// connections: the reader's buffer, which each keeps, is small too. In
-// bytes; chosen, not measured.
+// Sizes of buffers. Most messages are small, and a process has hundreds of connections: the
+// reader's buffer, which each keeps, is small too. In bytes.
 const (
 	bufferBytes = 64 << 10 // of the writer
 	readBytes   = 4 << 10  // of each reader
--- a/lib/peer/handshake.go
+++ b/lib/peer/handshake.go
@@ -29,8 +29,7 @@
 	return theirs, c.nc.SetReadDeadline(time.Time{})
 }
 
-// maxHello bounds what a stranger can make us hold, in bytes. Chosen, not measured: some
-// twenty times a hello.
+// maxHello bounds what a stranger can make us hold, in bytes. Some twenty times a hello.
 const maxHello = 4 << 10
 
 func (c *Conn) readHello() (*wire.Hello, error) {
--- a/lib/peer/link.go
+++ b/lib/peer/link.go
@@ -15,8 +15,7 @@
 // jitter, so that a returning rack is not met by everyone at once.
 const reconnectBase = 50 * time.Millisecond
 
-// A peer that could not be reached so often is probably gone for good, and dialled
-// less often. Chosen, not measured.
+// A peer that could not be reached so often is probably gone for good, and dialled less often.
 const (
 	goneAfter = 60              // attempts
 	goneDelay = 3 * time.Second // between two later ones
@@ -27,7 +26,7 @@
 // doubled, for peers that are far away or slow. A limit of 1 s for each attempt left
 // half of the connections missing for 1 s after a loss of power.
 const (
-	firstDialLimit = 150 * time.Millisecond // of the first attempt; chosen, not measured
+	firstDialLimit = 150 * time.Millisecond // of the first attempt
 	lastDialLimit  = time.Second
 )
 
--- a/lib/peer/silence.go
+++ b/lib/peer/silence.go
@@ -13,8 +13,8 @@
 
 // keepAliveEvery is how often a KeepAlive goes along with what is written, at most. So a
 // connection that has gone silent is noticed by Options.AckLimit after a message that was
-// lost, and as much as this later if one was under way. Chosen, not measured: two frames of
-// 6 bytes a second and link, 1.9 KB/s for a process among 80 that all keep links to all.
+// lost, and as much as this later if one was under way. Two frames of 6 bytes a second and
+// link, 1.9 KB/s for a process among 80 that all keep links to all.
 const keepAliveEvery = time.Second
 
 // withKeepAlive adds a KeepAlive to what is about to be written, if one is due, and has
--- a/lib/tcp/tcp.go
+++ b/lib/tcp/tcp.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// The limits, for a connection with unacknowledged bytes and for an idle one. Linux sends
-// no keep-alive probe while bytes are unacknowledged, so the first does not follow from
-// the others. Chosen, not measured: each process has shorter ones of its own for what it
-// waits for; these free what it has forgotten.
+// The limits, for a connection with unacknowledged bytes and for an idle one. Linux sends no
+// keep-alive probe while bytes are unacknowledged, so the first does not follow from the
+// others. Each process has shorter ones of its own for what it waits for; these free what it
+// has forgotten.
 const (
 	userTimeout  = 3 * time.Second // TCP_USER_TIMEOUT: unacknowledged bytes
 	keepIdle     = 2 * time.Second // before the first keep-alive probe
--- a/submissions/agent/agent.go
+++ b/submissions/agent/agent.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	eventBacklog = 512                  // events that may wait for the control loop; chosen, not measured
+	eventBacklog = 512                  // events that may wait for the control loop
 	tickEvery    = 5 * time.Millisecond // between looks at the time; half of backend.hold
 	flushTimeout = time.Second
 )
--- a/submissions/agent/control.go
+++ b/submissions/agent/control.go
@@ -180,7 +180,7 @@
 
 // The bounds of one Results message.
 const (
-	maxItems     = 1024    // results; chosen, not measured
+	maxItems     = 1024    // results
 	maxItemBytes = 1 << 20 // of them; a quarter of the default frame
 )
 
--- a/submissions/backend/client.go
+++ b/submissions/backend/client.go
@@ -41,8 +41,8 @@
 // failure of a task that ran.
 const Path = "/v1/run"
 
-// maxErrorText bounds what of a backend server's error is passed on, in bytes. Chosen, not
-// measured: a sentence or two.
+// maxErrorText bounds what of a backend server's error is passed on, in bytes. A sentence or
+// two.
 const maxErrorText = 200
 
 // Settings are the bounds of a client.
--- a/submissions/backend/usage.go
+++ b/submissions/backend/usage.go
@@ -21,7 +21,7 @@
 	Tasks       int       `json:"tasks"` // running
 }
 
-// maxUsage bounds a usage report, in bytes. Chosen, not measured.
+// maxUsage bounds a usage report, in bytes.
 const maxUsage = 4 << 10
 
 // Usage reads the report.
--- a/submissions/boxlist/client.go
+++ b/submissions/boxlist/client.go
@@ -16,7 +16,7 @@
 	"github.com/lichenfall/lichenfall/submissions/membership"
 )
 
-// maxReply bounds one reading, in bytes; chosen, not measured: some 100,000 boxes.
+// maxReply bounds one reading, in bytes; some 100,000 boxes.
 const maxReply = 32 << 20
 
 // Client speaks to one platform service.
--- a/submissions/client/client.go
+++ b/submissions/client/client.go
@@ -26,8 +26,8 @@
 	http *http.Client
 }
 
-// maxIdle is how many idle connections to one entry are kept, so that a load
-// generator need not dial for each job. Chosen, not measured.
+// maxIdle is how many idle connections to one entry are kept, so that a load generator need
+// not dial for each job.
 const maxIdle = 1024
 
 // New returns a client for the entry at url.
--- a/submissions/dispatch/meter.go
+++ b/submissions/dispatch/meter.go
@@ -10,8 +10,8 @@
 }
 
 const (
-	meterPeriod = 200 * time.Millisecond // over which the rate is taken; chosen, not measured: a few tasks long
-	meterWeight = 0.3                    // of the newest period in the average; chosen, not measured
+	meterPeriod = 200 * time.Millisecond // over which the rate is taken; a few tasks long
+	meterWeight = 0.3                    // of the newest period in the average
 )
 
 func (m *meter) add(n int) { m.ended += n }
--- a/submissions/dispatch/place.go
+++ b/submissions/dispatch/place.go
@@ -76,8 +76,8 @@
 	c.sendTasks(now, r, agent, final, wire.NoQueueLimit)
 }
 
-// maxPlaceBytes bounds the payloads in one message, well under the bound of a
-// frame; a payload alone may be larger. In bytes; chosen, not measured.
+// maxPlaceBytes bounds the payloads in one message, well under the bound of a frame; a payload
+// alone may be larger. In bytes.
 const maxPlaceBytes = 1 << 20
 
 func (c *Core) sendTasks(now time.Time, r *record, agent string, indexes []int, limit uint32) {
--- a/submissions/dispatch/submit.go
+++ b/submissions/dispatch/submit.go
@@ -122,8 +122,8 @@
 
 // The bounds of the pause that a refused caller is told.
 const (
-	minPause = 50 * time.Millisecond // chosen, not measured: the shortest task
-	maxPause = 5 * time.Second       // chosen, not measured
+	minPause = 50 * time.Millisecond // the shortest task
+	maxPause = 5 * time.Second
 )
 
 // comeBack estimates when the tasks held now will be done, with jitter so that
--- a/submissions/dispatch/watch.go
+++ b/submissions/dispatch/watch.go
@@ -13,8 +13,7 @@
 
 const (
 	watchEvery = 50 * time.Millisecond // between looks; a quarter of placement.ping_after
-	// pausedGap is how far apart two ticks are when it was us who stood still. Chosen, not
-	// measured: four looks.
+	// pausedGap is how far apart two ticks are when it was us who stood still. Four looks.
 	pausedGap = 200 * time.Millisecond
 )
 
--- a/submissions/entry/entry.go
+++ b/submissions/entry/entry.go
@@ -29,10 +29,10 @@
 )
 
 const (
-	eventBacklog = 4096                 // events that may wait for the control loop; chosen, not measured
+	eventBacklog = 4096                 // events that may wait for the control loop
 	tickEvery    = 5 * time.Millisecond // between looks at the time; below the shortest limit, of 10 ms
-	flushTimeout = time.Second          // for messages that wait to be written at a stop; chosen, not measured
-	absentFor    = 30 * time.Second     // before an unlisted, unconnected agent is given up; chosen, not measured
+	flushTimeout = time.Second          // for messages that wait to be written at a stop
+	absentFor    = 30 * time.Second     // before an unlisted, unconnected agent is given up
 )
 
 // Entry is a running entry.
--- a/submissions/entry/ids.go
+++ b/submissions/entry/ids.go
@@ -19,8 +19,8 @@
 }
 
 const (
-	maxIDs      = 1000 // of one question; chosen, not measured
-	drawsForOne = 64   // tries at an ID whose holder is there; chosen, not measured
+	maxIDs      = 1000 // of one question
+	drawsForOne = 64   // tries at an ID whose holder is there
 )
 
 // ids hands out new submission IDs whose holders are there now. A caller that
--- a/submissions/fakebackend/backend.go
+++ b/submissions/fakebackend/backend.go
@@ -69,7 +69,7 @@
 }
 
 const (
-	maxConns   = 1024                  // of callers; this one and the next two chosen, not measured
+	maxConns   = 1024                  // of callers
 	usageGrain = 50 * time.Millisecond // between two points of a usage report
 	maxReports = 1000                  // points that are kept
 	taskMemory = 16 << 20              // bytes that a task is said to use
--- a/submissions/fakeboxlist/boxlist.go
+++ b/submissions/fakeboxlist/boxlist.go
@@ -36,8 +36,7 @@
 	list membership.BoxList
 }
 
-// maxConns bounds the connections of callers; chosen, not measured: one for each
-// entry and each test at once.
+// maxConns bounds the connections of callers; one for each entry and each test at once.
 const maxConns = 4096
 
 // New starts a stand-in that listens on the address.
--- a/submissions/job/submission.go
+++ b/submissions/job/submission.go
@@ -59,7 +59,7 @@
 type Digest [sha256.Size]byte
 
 const (
-	maxName       = 64 // characters; chosen, not measured
+	maxName       = 64 // characters
 	allowedName   = "1 to 64 characters of A-Z a-z 0-9 . _ : - @"
 	allowedNumber = "%d to %d"
 )
--- a/submissions/placement/outliers.go
+++ b/submissions/placement/outliers.go
@@ -22,8 +22,7 @@
 	Trickle float64
 }
 
-// Bounds of outlier detection. Chosen, not measured; with it the share of complete
-// jobs with one backend server that fails at once rose from 0.02 to 0.81.
+// Bounds of outlier detection.
 const (
 	detectEvery  = 100 * time.Millisecond // between two passes over a pool
 	sampleWeight = 0.1                    // of the newest task in the averages
--- a/submissions/placement/placement.go
+++ b/submissions/placement/placement.go
@@ -44,7 +44,7 @@
 }
 
 const (
-	lookAtAll  = 64 // agents of a pool up to which all are looked at; chosen, not measured
+	lookAtAll  = 64 // agents of a pool up to which all are looked at
 	drawOfMany = 16 // agents drawn of a larger one; 3.5 us a task at 40 agents, 5.8 us at 960 (docs/measurements/0012)
 )
 
--- a/submissions/placement/pool.go
+++ b/submissions/placement/pool.go
@@ -42,8 +42,8 @@
 	return time.Duration(float64(behind) / float64(p.Slots) * float64(p.Run))
 }
 
-// fullShare is the share of the pool's queues up to which whole jobs are taken.
-// The rest is for what an entry does not know of the others. Chosen, not measured.
+// fullShare is the share of the pool's queues up to which whole jobs are taken. The rest is
+// for what an entry does not know of the others.
 const fullShare = 0.7
 
 // Full returns whether n new tasks would fill the queues so far that some of
--- a/submissions/queue/fair.go
+++ b/submissions/queue/fair.go
@@ -17,8 +17,8 @@
 	n          int
 }
 
-// handicap is about what a task costs those behind it: its time divided by the
-// slots that work. Chosen, not measured: a task of 100 ms over ten slots.
+// handicap is about what a task costs those behind it: its time divided by the slots that
+// work. A task of 100 ms over ten slots.
 const handicap = 10 * time.Millisecond
 
 type workspaceQueue struct {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -37,15 +37,13 @@
 	return "", false
 }
 
-// DefaultMaxFrame is the frame bound that the daemons use unless told
-// otherwise, in bytes. Chosen, not measured.
+// DefaultMaxFrame is the frame bound that the daemons use unless told otherwise, in bytes.
 const DefaultMaxFrame = 4 << 20
 
 const (
 	lengthBytes = 4 // of the length before each frame
 	kindBytes   = 1 // of the kind after it
-	// firstRead bounds what is allocated on the word of a length field alone, in
-	// bytes. Chosen, not measured.
+	// firstRead bounds what is allocated on the word of a length field alone, in bytes.
 	firstRead = 64 << 10
 )
 
