worker, runtable, room: show operators speed, asks and grants of a worker

Cause: an operator could see what a coordinator believes of a worker, and not what the worker believes. Change: GET /v1/state at its admin address, as at a coordinator's; read-only. Checked: a spec, and the page of a worker started by hand.

--- a/commands/worker.go
+++ b/commands/worker.go
@@ -35,6 +35,12 @@
 	if err != nil {
 		return err
 	}
+	c.state.from(func() any {
+		if o, ok := w.Overview(); ok {
+			return o
+		}
+		return nil
+	})
 	control, err := serveOn(cfg.Backend.Listen, platform.ControlHandler(w, c.report), workerConns)
 	if err != nil {
 		return err
--- a/jobs/runtable/shares_test.go
+++ b/jobs/runtable/shares_test.go
@@ -308,6 +308,21 @@
 		Expect(n.held).To(HaveLen(2))
 	})
 
+	It("shows operators who asks for what, and to whom room is granted", func() {
+		n := full()
+		n.ended()
+		n.perform()
+		v := n.table.View(n.now)
+		Expect(v.Life).To(Equal(identity.Instance))
+		Expect(v.Ready).To(BeTrue())
+		Expect([]int64{v.Capacity, v.Free}).To(Equal([]int64{4000, 2500}))
+		Expect(v.Coordinators).To(HaveKeyWithValue("c", "member-c"))
+		Expect(v.Asks).To(ConsistOf(
+			And(HaveField("Owner", "b"), HaveField("Tasks", 1), HaveField("Need", int64(1500))),
+			And(HaveField("Owner", "c"), HaveField("Tasks", 0))))
+		Expect(v.Grants).To(ConsistOf(And(HaveField("Owner", "c"), HaveField("WasTold", true))))
+	})
+
 	It("says for the log what it granted, and what became of it", func() {
 		n := full()
 		n.ended()
