scheduler, room, wire: one work of a task, one bound of waits

Cause: read once more, the change worked a task's work out in three places, and kept the same bound of an ask's waits in two packages; one comment on it was no longer true. Change: task.work, wire.MostWaits. No decision, bound or check changes.

--- a/jobs/room/asks.go
+++ b/jobs/room/asks.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// mostWaits is how many waits of one ask are taken, and told of at once: queues have fewer priorities.
-	mostWaits = 8
 	// mostTasks is how many tasks of one wait are taken: more than start at a backend
 	// server before the ask is over.
 	mostTasks = 1000
@@ -74,7 +72,7 @@
 
 func newWaits(now time.Time, owner string, rows []wire.RoomWait) []*wait {
 	var waits []*wait
-	for i := range rows[:min(len(rows), mostWaits)] {
+	for i := range rows[:min(len(rows), wire.MostWaits)] {
 		r := &rows[i]
 		w := &wait{
 			owner:    owner,
--- a/jobs/scheduler/admission.go
+++ b/jobs/scheduler/admission.go
@@ -183,7 +183,7 @@
 	work := 0.0
 	for _, t := range c.readyOf(service).onTime.tasks {
 		if !t.turn().After(turn) {
-			work += float64(t.step.Need.CPU) * float64(t.step.Estimate())
+			work += t.work()
 		}
 	}
 	return work
--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -149,7 +149,7 @@
 		if t.job.mayGiveWay() && t == t.job.firstReady() && !c.inTime(now, s, t, work, cores) {
 			continue
 		}
-		work += float64(t.step.Need.CPU) * float64(t.step.Estimate())
+		work += t.work()
 		cores += float64(t.step.Need.CPU)
 	}
 }
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -66,6 +66,9 @@
 	return t.run
 }
 
+// work returns the task's work by its estimate, in thousandths of a core times nanoseconds.
+func (t *task) work() float64 { return float64(t.step.Need.CPU) * float64(t.step.Estimate()) }
+
 func (t *task) ref() wire.RunRef { return wire.RunRef{Task: t.id, Run: t.run} }
 
 // failed notes a failed run and returns how many there have been.
--- a/jobs/scheduler/waits.go
+++ b/jobs/scheduler/waits.go
@@ -9,9 +9,6 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// mostWaits is how many waits a worker takes of one ask.
-const mostWaits = 8
-
 // wait is what waits for room of one priority, of the tasks that ask for about the same.
 type wait struct {
 	waitKey
@@ -66,7 +63,7 @@
 		out[i].add(t, turnOf(t))
 	}
 	slices.SortFunc(out, func(a, b wait) int { return a.from.Compare(b.from) })
-	return out[:min(mostWaits, len(out))]
+	return out[:min(wire.MostWaits, len(out))]
 }
 
 func (k *wait) add(t *task, turn time.Time) {
@@ -78,7 +75,7 @@
 	}
 	k.need = k.need.Max(t.step.Need)
 	k.tasks++
-	k.work += float64(t.step.Need.CPU) * float64(t.step.Estimate())
+	k.work += t.work()
 }
 
 // wanted returns how many workers are to be asked.
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -95,6 +95,9 @@
 	Waits []RoomWait
 }
 
+// MostWaits is how many Waits of a RoomAsk are taken, the first ones.
+const MostWaits = 8
+
 // RoomWait is what waits of one priority, of about one size, and has begun or not: an ask may
 // have several of a priority.
 type RoomWait struct {
