runtable, scheduler: only suspect a crash of a server that refuses connections

What callers saw: a job that had crashed nothing failed with servers_crashed, because the backend servers of its runs refused connections for longer than their lease, and ran on.

Cause: one count answered two questions. Whether a task may be started again has to be bounded, so a suspected crash must count at once; whether its job has failed must be certain. Ruled out: ends that say failed, and a crash counted twice.

Change: a worker reports such a run as suspected, and as crashed only when another incarnation answers. A coordinator counts a suspected crash for placing and starting, in the store too, and not for failing; the task waits for certainty where two servers or more have fallen silent, and at more than four does not start until it is known. The incarnation that answers again takes it back. The same fault stood where a server refuses after a silence, and for runs in transit.

TestRefusedConnectionsUntilTheLeaseIsOver asserted the fault: an end crashed while nothing shows a crash. It asserts suspected now, and what follows each of the two next answers.

--- a/jobs/promises/crashing_test.go
+++ b/jobs/promises/crashing_test.go
@@ -19,6 +19,8 @@
 // crashingRegressions are seeds that failed once, each with its cause.
 var crashingRegressions = []failedSeed{
 	{20261235, "a best-effort job that was sent again crashed the same number of servers again"},
+	{20261211, "suspected crashes of a durable job were not stored, and lost with all processes"},
+	{881010, "a best-effort job was cancelled while two crashes were only suspected, and sent again after a loss of all processes"},
 	{20261349, "a durable job failed after one crash and one end that was lost with its server before it was acknowledged"},
 }
 
--- a/jobs/runtable/crash.go
+++ b/jobs/runtable/crash.go
@@ -42,6 +42,26 @@
 	}
 }
 
+// endSuspected ends all runs at a backend server that refused connections until its lease was over. It
+// may have crashed, or live on and accept connections later. Only the next answer shows which, so the
+// runs are remembered until then.
+func (t *Table) endSuspected(now time.Time) {
+	suspects := t.suspects()
+	for _, ref := range t.sortedRefs() {
+		r := t.runs[ref]
+		delete(t.runs, ref)
+		if r.earlierEnd != nil {
+			t.reportEarlierEnd(now, r)
+			continue
+		}
+		e := t.crashedEnd(now, r, suspects, reasonRefused)
+		t.silentRuns[ref] = crashedRun{r.lease, e, now}
+		e.How = uint8(wire.EndSuspected)
+		t.rememberCrashed(now, r.lease, e)
+		t.reportEnd(r, e)
+	}
+}
+
 // crashedEnd returns the end of a run that was lost in a crash; suspects is the number of
 // suspects among all runs that were lost.
 func (t *Table) crashedEnd(now time.Time, r *run, suspects int, reason string) wire.RunEnd {
@@ -91,8 +111,8 @@
 	}
 }
 
-// reportSilentCrashes reports to the owners of runs that lapsed during a silence that it was a
-// crash: the incarnation is over and had not announced its end.
+// reportSilentCrashes reports to the owners of runs that lapsed while the backend server was silent or
+// refused connections that it was a crash: the incarnation is over and had not announced its end.
 func (t *Table) reportSilentCrashes(now time.Time) {
 	for _, ref := range ordered.KeysFunc(t.silentRuns, compareRefs) {
 		c := t.silentRuns[ref]
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -63,6 +63,7 @@
 		if t.hasIdentity {
 			t.replacedBy(now, id.Incarnation(), "new_instance")
 		}
+		t.reportSilentCrashes(now)
 	}
 	before, known := t.identity, t.hasIdentity
 	if id.Capacity == (durable.Resources{}) {
@@ -75,6 +76,9 @@
 	if known && before.Equal(&id) {
 		return
 	}
+	if !known {
+		clear(t.silentRuns) // the incarnation that was given up has not crashed
+	}
 	for _, o := range t.owners {
 		o.identitySent = false
 	}
@@ -82,16 +86,20 @@
 	t.effects.Renew = true
 }
 
-// endIncarnation ends all runs, since the process that ran them is gone.
+// endIncarnation ends all runs, since the process that ran them is gone, or refuses connections and
+// the lease is over. In the second case it has perhaps not crashed.
 func (t *Table) endIncarnation(now time.Time, reason string) {
 	t.noteBackendLost(reason)
-	if t.leaving() {
+	switch {
+	case t.leaving():
 		t.endAll(now, wire.EndLost, reason)
-	} else {
+		clear(t.silentRuns)
+	case reason == reasonRefused:
+		t.endSuspected(now)
+	default:
 		t.endCrashed(now, reason)
 		t.reportSilentCrashes(now)
 	}
-	clear(t.silentRuns)
 	t.ends = make(map[uint64]*end)
 	t.outcomes = newOutcomes()
 	t.lastListedEnd, t.ackedEnd = 0, 0
--- a/jobs/runtable/inherited.go
+++ b/jobs/runtable/inherited.go
@@ -1,6 +1,7 @@
 package runtable
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lichenfall/lichenfall/wire"
@@ -84,8 +85,24 @@
 
 // reportEarlierEnd reports to the run's owners how it was lost with an earlier incarnation.
 func (t *Table) reportEarlierEnd(now time.Time, r *run) {
-	if wire.End(r.earlierEnd.How) == wire.EndCrashed {
-		t.rememberCrashed(now, r.lease, *r.earlierEnd)
+	e := *r.earlierEnd
+	if wire.End(e.How) == wire.EndCrashed {
+		t.verifyCrash(now, r.lease, &e)
 	}
-	t.reportEnd(r, *r.earlierEnd)
+	t.reportEnd(r, e)
+}
+
+// verifyCrash corrects the end of a run that was lost with an incarnation which refused connections: it
+// is in force again, or it is not known yet whether it has crashed.
+func (t *Table) verifyCrash(now time.Time, lease leaseKey, e *wire.RunEnd) {
+	over := func(i Incarnation) bool { return i.String() == e.Instance }
+	switch {
+	case t.hasIdentity && over(t.identity.Incarnation()):
+		e.How, e.Instance = uint8(wire.EndLapsed), ""
+		return
+	case !slices.ContainsFunc(t.superseded, over):
+		t.silentRuns[e.Ref] = crashedRun{lease, *e, now}
+		e.How = uint8(wire.EndSuspected)
+	}
+	t.rememberCrashed(now, lease, *e)
 }
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -124,8 +124,8 @@
 	// crashedRuns holds the runs of durable jobs that were lost in crashes of the backend
 	// server, until their owners have stored that.
 	crashedRuns map[wire.RunRef]crashedRun
-	// silentRuns holds the runs whose lease lapsed while the backend server was silent, until it
-	// answers again or its next incarnation shows that it had crashed.
+	// silentRuns holds the runs whose lease lapsed while the backend server was silent or refused
+	// connections, until it answers again or its next incarnation shows that it had crashed.
 	silentRuns map[wire.RunRef]crashedRun
 
 	effects Effects
--- a/jobs/scheduler/ends.go
+++ b/jobs/scheduler/ends.go
@@ -58,6 +58,11 @@
 		c.runCrashed(now, t, e)
 		return
 	}
+	if how == wire.EndSuspected {
+		c.ackWithProgress(now, w, t, e)
+		c.suspectCrash(now, t, e)
+		return
+	}
 	if how != wire.EndFailed || t.job.sub.BestEffort {
 		c.sendAcks([]ack{{w.name, e.Ref}})
 		return
--- a/jobs/scheduler/retries.go
+++ b/jobs/scheduler/retries.go
@@ -26,6 +26,9 @@
 		if !c.runCrashed(now, t, e) {
 			c.enqueue(now, t)
 		}
+	case wire.EndSuspected:
+		c.suspectCrash(now, t, e)
+		c.enqueue(now, t)
 	case wire.EndStraggled:
 		t.straggles++
 		t.avoid = append(t.avoid, w.name)
--- a/jobs/scheduler/silences.go
+++ b/jobs/scheduler/silences.go
@@ -22,12 +22,15 @@
 type silence struct {
 	instance string
 	at       time.Time // when the run ended
+	// refused says that the server refused connections. It has probably crashed, and is listed among
+	// the crashes of the task.
+	refused bool
 }
 
 // fellSilent records that an incarnation of a backend server fell silent during a run of the task.
 func (t *task) fellSilent(now time.Time, instance string) {
 	t.forgetSilence(instance)
-	t.silences = append(t.silences, silence{instance, now})
+	t.silences = append(t.silences, silence{instance: instance, at: now})
 }
 
 // forgetSilence removes the record of a silence, for example because it has turned out to be a crash.
@@ -47,11 +50,37 @@
 	}
 }
 
-// suspended returns whether the task waits until it is known whether silent servers have crashed. It
-// forgets silences that are older than silenceWait.
+// suspended returns whether the task waits until it is known whether servers have crashed that are
+// silent or refuse connections. It forgets those that are not waited for any longer.
 func (t *task) suspended(now time.Time) bool {
-	t.silences = slices.DeleteFunc(t.silences, func(s silence) bool { return now.Sub(s.at) >= silenceWait })
-	return len(t.silences) > 0 && len(t.silences)+len(t.crashes) >= minSilences
+	t.silences = slices.DeleteFunc(t.silences, func(s silence) bool { return now.Sub(s.at) >= s.limit() })
+	if len(t.silences) == 0 {
+		return false
+	}
+	if len(t.crashes) > maxUncertain {
+		return true
+	}
+	recent := func(s silence) bool { return now.Sub(s.at) < silenceWait }
+	return slices.ContainsFunc(t.silences, recent) && t.silentOnly()+len(t.crashes) >= minSilences
+}
+
+// limit returns how long the silence is remembered while it is not known whether it was a crash.
+func (s silence) limit() time.Duration {
+	if s.refused {
+		return suspicionTTL
+	}
+	return silenceWait
+}
+
+// silentOnly returns how many of the silences are not listed among the crashes.
+func (t *task) silentOnly() int {
+	n := 0
+	for _, s := range t.silences {
+		if !s.refused {
+			n++
+		}
+	}
+	return n
 }
 
 // resumeTasks queues the tasks that need not be suspended any longer.
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -117,7 +117,11 @@
 	if m.Identity != nil {
 		w.identity = *m.Identity
 	}
+	answersAgain := m.Ready && !w.status.Ready
 	w.status = *m
+	if answersAgain {
+		c.incarnationAnswers(w.identity.Instance)
+	}
 	w.rememberSpeed()
 	w.statusAt = now
 	if newIncarnation {
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -151,6 +151,10 @@
 	EndNotRun    End = 6 // it has not started and never will
 	EndStraggled End = 7 // stopped by the worker because it exceeded RunOrder.LimitMS
 	EndCrashed   End = 8 // the backend server's process ended during the run, unannounced
+	// EndSuspected is the end of a run whose lease is over and whose backend server refused
+	// connections until then. The server may have crashed. An EndCrashed follows if its next
+	// incarnation shows that it has.
+	EndSuspected End = 9
 )
 
 // String returns the end's name.
@@ -170,6 +174,8 @@
 		return "straggled"
 	case EndCrashed:
 		return "crashed"
+	case EndSuspected:
+		return "suspected"
 	}
 	return "not_run"
 }
@@ -180,13 +186,13 @@
 	How        uint8 // an End
 	Checkpoint string
 	RunMS      int64  // duration of the run as observed by the worker
-	Reason     string // for EndNotRun, EndLost and EndCrashed
-	// Instance is the incarnation of the backend server: for EndCrashed, and for EndLapsed if
-	// the server was silent and so may have crashed.
+	Reason     string // for EndNotRun, EndLost, EndCrashed and EndSuspected
+	// Instance is the incarnation of the backend server: for EndCrashed and EndSuspected, and for
+	// EndLapsed if the server was silent and so may have crashed.
 	Instance string
-	// Begun is set for EndCrashed if the backend server had acknowledged the start of the run.
+	// Begun is set for EndCrashed and EndSuspected if the backend server had acknowledged the start of the run.
 	Begun bool
-	// Alone is set for EndCrashed if this was the only run on the backend server whose task
+	// Alone is set for EndCrashed and EndSuspected if this was the only run on the backend server whose task
 	// has, or may have, had a crash before (RunOrder.Crashes).
 	Alone bool
 }
