scheduler: count fast cores for no more than they are in forecasts

Cause: a forecast counted a core that is 1.67 times as fast as 1.67 cores. That speed is not there for all that waits, since tasks with little slack are held for the fast servers; so more was admitted than could be done in time, and the jobs with the least slack were refused or late.

Change: slow cores count for less, as before, fast ones for no more.

--- a/jobs/scheduler/forecast.go
+++ b/jobs/scheduler/forecast.go
@@ -9,7 +9,7 @@
 // supply is the capacity of the workers of a service, as far as this coordinator knows it.
 type supply struct {
 	candidates []candidate
-	cores      float64       // of the candidates, weighted by their speed, in thousandths
+	cores      float64       // of the candidates, as coresOf counts them, in thousandths
 	reporting  int           // candidates that have lately reported the work which waits there for other coordinators
 	age        time.Duration // of the oldest of these reports
 	scale      float64       // number of eligible workers over maxCandidates; at least 1
@@ -37,12 +37,14 @@
 // evenShare returns this coordinator's even share of the cores, in thousandths.
 func (s *supply) evenShare() float64 { return s.cores * s.scale / s.sharers }
 
-// coresOf returns the worker's cores in thousandths, weighted by its speed: how many cores would do the
-// same work if runs took exactly their estimates.
+// coresOf returns the worker's cores in thousandths. Those of a slow worker count for less: as many as
+// would do the same work if runs took exactly their estimates. Those of a fast worker count for no more
+// than they are: tasks with little slack are held for them, so that not all that waits gets its share of
+// their speed, and jobs admitted for it would be late.
 func (c *Core) coresOf(w *worker) float64 {
 	cores := float64(w.identity.Capacity.CPU)
 	if c.cfg.Load.PlaceBySpeed {
-		cores /= w.timeFactor()
+		cores /= max(1, w.timeFactor())
 	}
 	return cores
 }
--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// availableCores returns the thousandths of a core of the workers that take tasks, weighted by speed.
+// availableCores returns the thousandths of a core of the workers that take tasks, as coresOf counts them.
 func (c *Core) availableCores(now time.Time, service string) float64 {
 	cores := 0.0
 	for _, w := range c.eligible {
