claims: do not wait for witnesses that are not there

What callers saw: after a loss of all processes jobs waited up to 150 ms for witnesses to which there had never been a connection, and were refused or late.

Change: a job waits 30 ms at most for the first connection to a witness, counted from when that became known.

The spec failed before by its age.

--- a/jobs/claims/claimant.go
+++ b/jobs/claims/claimant.go
@@ -308,7 +308,7 @@
 	if cl.decided {
 		return
 	}
-	o, expected, holder, most := cl.count()
+	o, expected, holder, most := cl.count(now)
 	o.Age = now.Sub(cl.since)
 	majority := len(cl.answers)/2 + 1
 	switch {
@@ -331,7 +331,7 @@
 
 // count counts the answers. expected is how many more may come, and most how many witnesses name the
 // holder that most of them name.
-func (cl *claim) count() (o Outcome, expected int, holder string, most int) {
+func (cl *claim) count(now time.Time) (o Outcome, expected int, holder string, most int) {
 	o = Outcome{Job: cl.id}
 	holders := make(map[string]int)
 	for w, r := range cl.answers {
@@ -345,7 +345,7 @@
 			o.Unsure++
 		default:
 			o.Silent++
-			if w.connected || !w.reached {
+			if w.mayAnswer(now) {
 				expected++
 			}
 		}
@@ -358,6 +358,11 @@
 	return o, expected, holder, most
 }
 
+// mayAnswer returns whether the witness is connected, or its first connection may be about to be made.
+func (w *witness) mayAnswer(now time.Time) bool {
+	return w.connected || !w.reached && now.Sub(w.changedAt) < connectLimit
+}
+
 // Take returns what has to be done since the last call.
 func (c *Claimant) Take(now time.Time) Effects {
 	e := Effects{Outcomes: c.outcomes}
--- a/jobs/claims/claims.go
+++ b/jobs/claims/claims.go
@@ -30,6 +30,9 @@
 	// answerLimit is how long a job waits for the answers of witnesses. It is many times the delay
 	// between regions, and short compared with the time that callers wait.
 	answerLimit = 150 * time.Millisecond
+	// connectLimit is how long a job waits for the first connection to a witness, counted from when
+	// that became known: several times as long as it takes to a worker that is there.
+	connectLimit = 30 * time.Millisecond
 	// askAgainAfter is the pause before a witness is asked again that has denied a claim which no
 	// majority has decided: the other coordinator may be about to withdraw its claim.
 	askAgainAfter = 25 * time.Millisecond
--- a/jobs/claims/claims_test.go
+++ b/jobs/claims/claims_test.go
@@ -212,6 +212,21 @@
 		Expect(o.Age).To(BeNumerically("<=", 160*time.Millisecond))
 	})
 
+	It("does not keep a job waiting for a witness that is not there while the others have just started", func() {
+		n := newNetwork(3, "a")
+		for name := range n.witnesses {
+			n.witnesses[name] = claims.NewWitness(after(20), lease)
+		}
+		n.claimants["a"] = claims.NewClaimant()
+		n.claimants["a"].SetPool(after(20), claims.Pool([]claims.Worker{{Address: "w0"}, {Address: "w1"}, {Address: "w2"}}))
+		n.connect(after(30), "a", "w0")
+		n.connect(after(30), "a", "w1")
+		o := n.claim(40, 60, "a")
+		Expect(o.Holder).To(BeEmpty())
+		Expect(o.Unsure).To(Equal(2))
+		Expect(o.Age).To(BeNumerically("<=", 20*time.Millisecond))
+	})
+
 	It("waits for answers that may be unread after a stall", func() {
 		n := newNetwork(3, "a", "b")
 		n.claim(0, 0, "b")
