runtable, scheduler: keep one loop for crashes, one place for what is unclaimed

endSuspected repeated endCrashed but for two lines, which verifyCrash had too: endCrashed now takes whether the crash is only suspected, and suspectCrash serves both. A job's flag unclaimed said what the map of the core says; the map stays. A field and a parameter of the claims test that nothing used are gone. No assertion has changed.

--- a/jobs/claims/claims_test.go
+++ b/jobs/claims/claims_test.go
@@ -29,12 +29,11 @@
 // after returns the time ms milliseconds after start.
 func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-// network connects claimants with witnesses. Messages arrive at once, unless their link is cut.
+// network connects claimants with witnesses. Messages arrive at once, unless their link is silent.
 type network struct {
 	claimants map[string]*claims.Claimant
 	witnesses map[string]*claims.Witness
 	conns     map[string]int  // connections made, by link
-	cut       map[string]bool // by link
 	silent    map[string]bool // links on which messages are lost and neither end knows
 	outcomes  map[string][]claims.Outcome
 }
@@ -42,7 +41,7 @@
 func newNetwork(witnesses int, coordinators ...string) *network {
 	n := &network{
 		claimants: make(map[string]*claims.Claimant), witnesses: make(map[string]*claims.Witness), conns: make(map[string]int),
-		cut: make(map[string]bool), silent: make(map[string]bool), outcomes: make(map[string][]claims.Outcome),
+		silent: make(map[string]bool), outcomes: make(map[string][]claims.Outcome),
 	}
 	var pool []claims.Worker
 	for i := range witnesses {
@@ -122,7 +121,7 @@
 }
 
 // witnessesOf returns the witnesses of the job.
-func (n *network) witnessesOf(k string) []string {
+func (n *network) witnessesOf() []string {
 	var out []string
 	for name, w := range n.witnesses {
 		if w.Len() > 0 {
@@ -138,7 +137,7 @@
 		o := n.claim(0, 0, "a")
 		Expect(o.Holder).To(BeEmpty())
 		Expect(o.Confirmed).To(BeTrue())
-		Expect(n.witnessesOf("a")).To(HaveLen(3))
+		Expect(n.witnessesOf()).To(HaveLen(3))
 		Expect(n.claim(30, 200, "b").Holder).To(Equal("a"))
 	})
 
@@ -147,7 +146,7 @@
 		n.claim(0, 0, "a")
 		n.claimants["a"].Withdraw(job)
 		n.exchange(after(100), "a")
-		Expect(n.witnessesOf("a")).To(BeEmpty())
+		Expect(n.witnessesOf()).To(BeEmpty())
 		Expect(n.claim(200, 200, "b").Confirmed).To(BeTrue())
 	})
 
@@ -169,7 +168,7 @@
 	It("is denied while one witness of its holder does not answer", func() {
 		n := newNetwork(11, "a", "b")
 		n.claim(0, 0, "a")
-		n.silent[linkName("b", n.witnessesOf("a")[0])] = true
+		n.silent[linkName("b", n.witnessesOf()[0])] = true
 		Expect(n.claim(30, 200, "b").Holder).To(Equal("a"))
 	})
 
@@ -244,7 +243,7 @@
 	It("moves to other witnesses when one is gone", func() {
 		n := newNetwork(11, "a", "b")
 		n.claim(0, 0, "a")
-		gone := n.witnessesOf("a")[:2]
+		gone := n.witnessesOf()[:2]
 		for _, name := range gone {
 			n.disconnect(after(100), "a", name)
 			n.disconnect(after(100), "b", name)
--- a/jobs/runtable/crash.go
+++ b/jobs/runtable/crash.go
@@ -26,8 +26,9 @@
 
 // endCrashed ends all runs, since the process that ran them has crashed. One of them may have
 // caused the crash. The ends therefore say which runs had started, and which one was the only
-// run whose task had been in a crash before.
-func (t *Table) endCrashed(now time.Time, reason string) {
+// run whose task had been in a crash before. If suspected is set, the backend server has only refused
+// connections until its lease was over.
+func (t *Table) endCrashed(now time.Time, reason string, suspected bool) {
 	suspects := t.suspects()
 	for _, ref := range t.sortedRefs() {
 		r := t.runs[ref]
@@ -37,29 +38,19 @@
 			continue
 		}
 		e := t.crashedEnd(now, r, suspects, reason)
+		if suspected {
+			t.suspectCrash(now, r.lease, &e)
+		}
 		t.rememberCrashed(now, r.lease, e)
 		t.reportEnd(r, e)
 	}
 }
 
-// endSuspected ends all runs at a backend server that refused connections until its lease was over. It
-// may have crashed, or live on and accept connections later. Only the next answer shows which, so the
-// runs are remembered until then.
-func (t *Table) endSuspected(now time.Time) {
-	suspects := t.suspects()
-	for _, ref := range t.sortedRefs() {
-		r := t.runs[ref]
-		delete(t.runs, ref)
-		if r.earlierEnd != nil {
-			t.reportEarlierEnd(now, r)
-			continue
-		}
-		e := t.crashedEnd(now, r, suspects, reasonRefused)
-		t.silentRuns[ref] = crashedRun{r.lease, e, now}
-		e.How = uint8(wire.EndSuspected)
-		t.rememberCrashed(now, r.lease, e)
-		t.reportEnd(r, e)
-	}
+// suspectCrash makes the end of a run that of a suspected crash. The backend server may live on and
+// accept connections later. Only the next answer shows which, so the crash is remembered until then.
+func (t *Table) suspectCrash(now time.Time, lease leaseKey, e *wire.RunEnd) {
+	t.silentRuns[e.Ref] = crashedRun{lease, *e, now}
+	e.How = uint8(wire.EndSuspected)
 }
 
 // crashedEnd returns the end of a run that was lost in a crash; suspects is the number of
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -95,9 +95,9 @@
 		t.endAll(now, wire.EndLost, reason)
 		clear(t.silentRuns)
 	case reason == reasonRefused:
-		t.endSuspected(now)
+		t.endCrashed(now, reason, true)
 	default:
-		t.endCrashed(now, reason)
+		t.endCrashed(now, reason, false)
 		t.reportSilentCrashes(now)
 	}
 	t.ends = make(map[uint64]*end)
--- a/jobs/runtable/inherited.go
+++ b/jobs/runtable/inherited.go
@@ -101,8 +101,7 @@
 		e.How, e.Instance = uint8(wire.EndLapsed), ""
 		return
 	case !slices.ContainsFunc(t.superseded, over):
-		t.silentRuns[e.Ref] = crashedRun{lease, *e, now}
-		e.How = uint8(wire.EndSuspected)
+		t.suspectCrash(now, lease, e)
 	}
 	t.rememberCrashed(now, lease, *e)
 }
--- a/jobs/scheduler/besteffort.go
+++ b/jobs/scheduler/besteffort.go
@@ -40,7 +40,6 @@
 	}
 	c.noteAdmitted(now, j)
 	j.accepted = true
-	j.unclaimed = unclaimed
 	j.startBy = now.Add(startTimeout(j, now, budget))
 	j.calls = append(j.calls, call)
 	c.bestEffort[s.ID] = j
--- a/jobs/scheduler/claims.go
+++ b/jobs/scheduler/claims.go
@@ -23,7 +23,6 @@
 		return
 	}
 	delete(c.unclaimed, id)
-	j.unclaimed = false
 	c.readyTasks(now, j)
 }
 
--- a/jobs/scheduler/job.go
+++ b/jobs/scheduler/job.go
@@ -16,14 +16,11 @@
 	stored   durable.State // as it is in the store
 	accepted bool          // the submission is in the store, or need not be
 	ran      bool          // a task has run, or may have
-	// unclaimed is set while no task of a best-effort job may be ordered, since it is not known
-	// whether another coordinator runs the job.
-	unclaimed bool
-	assigned  int // number of tasks that are with workers
-	class     int // priority class; 0 is the most urgent
-	tasks     []task
-	left      int   // number of tasks that are not done
-	stepLeft  []int // number of tasks that are not done, by step
+	assigned int           // number of tasks that are with workers
+	class    int           // priority class; 0 is the most urgent
+	tasks    []task
+	left     int   // number of tasks that are not done
+	stepLeft []int // number of tasks that are not done, by step
 
 	received     time.Time
 	sent         time.Time     // earliest time at which the caller may first have sent it
--- a/jobs/scheduler/ready.go
+++ b/jobs/scheduler/ready.go
@@ -84,7 +84,7 @@
 
 // readyTasks queues the job's tasks whose steps depend only on steps that are done.
 func (c *Core) readyTasks(now time.Time, j *job) {
-	if !j.accepted || j.unclaimed || j.reconciling || j.state.Final() {
+	if !j.accepted || c.unclaimed[j.id] == j || j.reconciling || j.state.Final() {
 		return
 	}
 	for i := range j.tasks {
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -57,7 +57,7 @@
 	// Jobs.
 	partitions     map[uint32]*partition
 	bestEffort     map[durable.JobID]*job // best-effort jobs that are not over
-	unclaimed      map[durable.JobID]*job // those of them that wait for Claimed
+	unclaimed      map[durable.JobID]*job // those of them whose tasks wait for Claimed
 	crashHistories map[durable.JobID]*crashHistory
 	active         int                                // jobs that are not final
 	callers        map[Call]waitingCall               // calls that wait for the store
