--- a/review/harness/case1_test.go
+++ b/review/harness/case1_test.go
@@ -16,7 +16,7 @@
 
 // lags are how long after the answer to a reading the answer to a join arrives when the cut has
 // healed, one in each round. Connections resume one by one after a cut.
-var lags = []time.Duration{6 * time.Millisecond, 9 * time.Millisecond, 4 * time.Millisecond, 13 * time.Millisecond}
+var lags = []time.Duration{6 * time.Millisecond, 9 * time.Millisecond, 4 * time.Millisecond, 13 * time.Millisecond, 2 * time.Millisecond, 20 * time.Millisecond}
 
 const (
 	lostPart = 3
@@ -53,8 +53,12 @@
 	}
 	second := s.coordinators[1]
 	body := fmt.Sprintf(`{"spec":"%s","steps":[{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":200,"requires":"b"}]}`, strings.Repeat("x", 3900))
+	accepted := make(chan error, waiting)
 	for _, id := range ids[len(lags):] {
-		if err := s.submit(second, id, body); err != nil {
+		go func() { accepted <- s.submit(second, id, body) }()
+	}
+	for range waiting {
+		if err := <-accepted; err != nil {
 			return nil, err
 		}
 	}
--- a/review/harness/case2_test.go
+++ b/review/harness/case2_test.go
@@ -17,12 +17,12 @@
 		jobs   = 12
 		tasks  = 150
 		cpu    = 100
-		work   = 100 * time.Millisecond
+		work   = 60 * time.Millisecond
 		outage = 900 * time.Millisecond
 	)
 	s.configure(1, 3)
-	for range 2 {
-		if err := s.addWorker(16000, func(string) time.Duration { return work }, func(string) int64 { return cpu }); err != nil {
+	for _, kind := range []string{"a", "b"} {
+		if err := s.addWorker(16000, func(string) time.Duration { return work }, func(string) int64 { return cpu }, kind); err != nil {
 			return nil, err
 		}
 	}
@@ -34,7 +34,7 @@
 	if err := s.awaitReady(); err != nil {
 		return nil, err
 	}
-	body := fmt.Sprintf(`{"spec":"match","steps":[{"count":%d,"cpu":%d,"mem-mb":16,"estimate-ms":%d}]}`, tasks, cpu, work.Milliseconds())
+	body := fmt.Sprintf(`{"spec":"match","steps":[{"count":%d,"cpu":%d,"mem-mb":16,"estimate-ms":%d,"requires":"a"}]}`, tasks, cpu, work.Milliseconds())
 	var ids []string
 	accepted := make(chan error, jobs)
 	for n := range jobs {
--- a/review/harness/case3_test.go
+++ b/review/harness/case3_test.go
@@ -13,9 +13,9 @@
 // When the store serves that coordinator again, it gets partitions whose tasks run at the new worker.
 func newWorkerWhileTurnedAway(s *system, trouble bool) ([]string, error) {
 	const (
-		jobs  = 24
+		jobs  = 30
 		tasks = 2
-		cpu   = 1600
+		cpu   = 500
 		work  = 3500 * time.Millisecond
 		away  = 6 * time.Second // of the 9 s in the site file
 	)
@@ -50,11 +50,11 @@
 	body := fmt.Sprintf(`{"spec":"verify","steps":[{"count":%d,"cpu":%d,"mem-mb":64,"estimate-ms":%d}]}`, tasks, cpu, work.Milliseconds())
 	var ids []string
 	accepted := make(chan error, jobs)
-	for n := range jobs / 2 {
+	for n := range jobs {
 		ids = append(ids, jobID(n))
 		go func() { accepted <- s.submit(first, jobID(n), body) }()
 	}
-	for range jobs / 2 {
+	for range jobs {
 		if err := <-accepted; err != nil {
 			return nil, err
 		}
