--- a/review/harness/door_test.go
+++ b/review/harness/door_test.go
@@ -4,7 +4,10 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -18,10 +21,12 @@
 	mu     sync.Mutex
 	silent bool
 	// cutAt, if not nil, returns whether the one-way cut begins with the answer to the request.
-	cutAt   func(r *http.Request) bool
-	cut     bool
-	healed  chan struct{} // closed when the cut heals
-	arrived []string      // requests that have been carried out during the cut, by path
+	cutAt    func(r *http.Request) bool
+	cut      bool
+	cutSince time.Time
+	healed   chan struct{} // closed when the cut heals
+	read     int           // readings of lostPart that have been answered
+	arrived  []string      // requests that have been carried out during the cut, by path
 	// order is how long after the cut has healed the answers to requests for a path arrive.
 	order map[string]time.Duration
 }
@@ -35,7 +40,8 @@
 }
 
 // cutFrom holds up what the store sends to the machine, from the answer to the request on for which
-// begins is true. What the machine sends arrives. order is for heal.
+// begins is true. What the machine sends on connections that are open then still arrives; no new
+// connection is made. order is for heal.
 func (d *door) cutFrom(begins func(r *http.Request) bool, order map[string]time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -51,6 +57,19 @@
 	close(d.healed)
 }
 
+// reads returns whether the request reads the jobs of lostPart.
+func reads(r *http.Request) bool {
+	q := r.URL.Query()
+	return r.URL.Path == "/v1/log-newest" && q.Get("topic") == "keyed.jobs" && q.Get("part") == strconv.Itoa(lostPart)
+}
+
+// readings returns how many readings of lostPart have been answered.
+func (d *door) readings() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.read
+}
+
 // during returns how many requests for the path have been carried out during the cut.
 func (d *door) during(path string) int {
 	d.mu.Lock()
@@ -64,11 +83,19 @@
 	return n
 }
 
+// connMade is the key of the time at which a request's connection was made.
+type connMade struct{}
+
+func withConnMade(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connMade{}, time.Now())
+}
+
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	made, _ := r.Context().Value(connMade{}).(time.Time)
 	d.mu.Lock()
-	silent := d.silent
+	unheard := d.silent || d.cut && made.After(d.cutSince)
 	d.mu.Unlock()
-	if silent {
+	if unheard {
 		<-r.Context().Done() // the connection says nothing further
 		panic(http.ErrAbortHandler)
 	}
@@ -76,10 +103,13 @@
 	d.store.ServeHTTP(held, r)
 	d.mu.Lock()
 	if d.cutAt != nil && !d.cut && d.cutAt(r) {
-		d.cut = true
+		d.cut, d.cutSince = true, time.Now()
 		d.store.rec.add("the way from the store to %s is cut", d.name)
 	}
 	silent, cut, healed, after := d.silent, d.cut, d.healed, d.order[r.URL.Path]
+	if reads(r) {
+		d.read++
+	}
 	if cut {
 		d.arrived = append(d.arrived, r.URL.Path)
 	}
--- a/review/harness/system_test.go
+++ b/review/harness/system_test.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ErrorLog: nil}
+	server := &http.Server{Handler: h, ConnContext: withConnMade}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(ln) }()
 	return nil
