ownership, coordinator: tie what is begun in a term to that term

Our tests found worse of the same cause: a job that was answered 200 and that the store did not have.

Cause: readings, writers and their results were keyed by the partition alone, so a result of an earlier ownership was applied to the present one. A reading took the partition over with old records. A late commit or fence released the present ownership; the next join dealt the partition again under the same generation, so the same epoch, and the new writer used append numbers again, which the store answers without storing anything.

Ruled out: that the store showed old records after the fence (the second reading has the job, and the job is denied before that answer is delivered).

Change: ownership.Term identifies one ownership; the table begins no two terms of a partition under one epoch. What a term has in progress is kept by its Term, and results are posted with it and looked up by it in one place, so one that comes late finds nothing (term_over in the log). Commits of the core go to the goroutine of their own term. Late answers to joins change nothing. fakestore.Client holds calls and answers up for one process, for all tests.

Tests that fail before, each 2 of 2: TestReadingOfAnEarlierTermDeniesNoJob ("an accepted job is denied"), TestCommitOfAnEarlierTermEndsNoTerm and TestFenceOfAnEarlierTermEndsNoTerm ("was accepted, and the store does not have it").

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -49,28 +49,27 @@
 	// Owned by the control goroutine.
 	core           *scheduler.Core
 	owned          *ownership.Table
-	loading        map[uint32]context.CancelFunc // partitions being read
-	writers        map[uint32]*writer            // by partition that we own
-	members        map[string]store.Member       // registered processes, by address
-	links          map[string]*link              // to workers and other coordinators, by address
-	inbound        inboundConns                  // from other coordinators
-	routes         map[uint32]route              // by partition that another coordinator owns
-	dedup          *dedup.Table                  // best-effort jobs that others hold
-	deferred       []*call                       // submissions that wait until dedup is ready
-	stalls         dedup.StallTracker            // how long calls may have waited before they were read
-	claims         *claims.Claimant              // claims of best-effort jobs
-	witnesses      map[string]*link              // to workers as witnesses of claims, by address
-	calls          map[scheduler.Call]*call      // in the core
-	forwarded      map[uint64]*call              // to other coordinators, by number
-	lastCall       uint64                        // number of the last call
-	peerCounts     map[string]map[string]uint32  // waiting jobs, by coordinator and queue
-	announced      *wire.QueueCounts             // the last announcement sent
-	announcedAt    time.Time                     // zero if the next one is due at once
-	countedAt      time.Time                     // when the announcement was last computed
-	chosenAt       time.Time                     // when chooseWorkers last ran
-	drainStartedAt time.Time                     // zero before a planned stop
-	leaving        bool                          // all partitions are released for a planned stop
-	failedJoins    int                           // consecutive failures
+	terms          map[ownership.Term]*term     // that last, by what identifies them
+	members        map[string]store.Member      // registered processes, by address
+	links          map[string]*link             // to workers and other coordinators, by address
+	inbound        inboundConns                 // from other coordinators
+	routes         map[uint32]route             // by partition that another coordinator owns
+	dedup          *dedup.Table                 // best-effort jobs that others hold
+	deferred       []*call                      // submissions that wait until dedup is ready
+	stalls         dedup.StallTracker           // how long calls may have waited before they were read
+	claims         *claims.Claimant             // claims of best-effort jobs
+	witnesses      map[string]*link             // to workers as witnesses of claims, by address
+	calls          map[scheduler.Call]*call     // in the core
+	forwarded      map[uint64]*call             // to other coordinators, by number
+	lastCall       uint64                       // number of the last call
+	peerCounts     map[string]map[string]uint32 // waiting jobs, by coordinator and queue
+	announced      *wire.QueueCounts            // the last announcement sent
+	announcedAt    time.Time                    // zero if the next one is due at once
+	countedAt      time.Time                    // when the announcement was last computed
+	chosenAt       time.Time                    // when chooseWorkers last ran
+	drainStartedAt time.Time                    // zero before a planned stop
+	leaving        bool                         // all partitions are released for a planned stop
+	failedJoins    int                          // consecutive failures
 
 	// Read by any goroutine.
 	configuration atomic.Pointer[routing.Configuration]
@@ -147,8 +146,7 @@
 		member:      cfg.Box.Name + "/" + uuid.NewString(),
 		core:        scheduler.New(cfg.Scheduler.Core(cfg.Box.DataCentre), uint64(time.Now().UnixNano())),
 		owned:       ownership.New(cfg.Ownership.TTL.D()),
-		loading:     make(map[uint32]context.CancelFunc),
-		writers:     make(map[uint32]*writer),
+		terms:       make(map[ownership.Term]*term),
 		members:     make(map[string]store.Member),
 		links:       make(map[string]*link),
 		inbound:     newInboundConns(),
--- a/jobs/coordinator/events.go
+++ b/jobs/coordinator/events.go
@@ -5,9 +5,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lichenfall/lichenfall/jobs/durable"
 	"github.com/lichenfall/lichenfall/jobs/routing"
-	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/jobs/store"
 	"github.com/lichenfall/lichenfall/wire"
 )
@@ -40,15 +38,19 @@
 		return
 	}
 	before := c.owned.Generation()
+	if e.assignment.Generation < before {
+		c.log.Warn("join_answered_late", zap.Uint64("generation", e.assignment.Generation), zap.Uint64("present", before))
+		return
+	}
 	change := c.owned.Joined(e.sent, now, e.assignment)
 	if before != e.assignment.Generation {
 		c.log.Info("generation_heard", zap.Uint64("generation", e.assignment.Generation), zap.Uint32s("partitions", e.assignment.Partitions))
 	}
-	for _, p := range change.Released {
-		c.release(now, p, "assigned_to_another")
+	for _, t := range change.Released {
+		c.endTerm(now, t, "assigned_to_another")
 	}
-	for _, p := range change.Acquired {
-		c.load(p, change.Epoch)
+	for _, t := range change.Acquired {
+		c.beginTerm(t)
 	}
 	c.checkLease(now)
 	c.core.Confirmed(now, e.sent)
@@ -64,53 +66,6 @@
 	}
 }
 
-// partitionRead holds the jobs of a partition as they were read from the store under the epoch.
-type partitionRead struct {
-	partition uint32
-	epoch     uint64
-	stored    map[durable.JobID]*durable.Stored
-}
-
-func (e partitionRead) apply(c *Coordinator, now time.Time) {
-	stop := c.loading[e.partition]
-	if stop == nil || c.leaving {
-		return
-	}
-	stop()
-	delete(c.loading, e.partition)
-	c.writers[e.partition] = c.newWriter(e.partition, e.epoch)
-	c.core.Acquire(now, e.partition, e.epoch, e.stored)
-	c.core.Suspend(now, e.partition, !c.owned.Valid(now))
-	c.log.Info("partition_owned", zap.Uint32("partition", e.partition), zap.Uint64("epoch", e.epoch), zap.Int("jobs", len(e.stored)))
-	c.announcedAt = time.Time{}
-}
-
-// partitionLost reports that the store knows a newer owner of the partition.
-type partitionLost struct{ partition uint32 }
-
-func (e partitionLost) apply(c *Coordinator, now time.Time) {
-	c.owned.Lost(e.partition)
-	c.release(now, e.partition, "fenced")
-	c.requestJoin()
-}
-
-// committed is the result of a commit to the partition under the epoch.
-type committed struct {
-	partition uint32
-	epoch     uint64
-	result    scheduler.CommitResult
-}
-
-func (e committed) apply(c *Coordinator, now time.Time) {
-	if c.writers[e.partition] == nil {
-		return
-	}
-	c.core.Committed(now, e.partition, e.epoch, e.result)
-	if e.result == scheduler.CommitFenced || e.result == scheduler.CommitLost {
-		partitionLost{e.partition}.apply(c, now)
-	}
-}
-
 // membersReceived holds processes that have registered or changed their records; the first such
 // event holds all that are registered.
 type membersReceived struct{ members []store.Member }
--- a/jobs/coordinator/group.go
+++ b/jobs/coordinator/group.go
@@ -51,21 +51,8 @@
 // checkLease suspends the work on our partitions while the lease on them may have expired.
 func (c *Coordinator) checkLease(now time.Time) {
 	valid := c.owned.Valid(now)
-	for p := range c.writers {
-		c.core.Suspend(now, p, !valid)
-	}
-}
-
-// release gives up a partition, whether we own it, are still reading it, or neither.
-func (c *Coordinator) release(now time.Time, partition uint32, reason string) {
-	if stop := c.loading[partition]; stop != nil {
-		stop()
-		delete(c.loading, partition)
-	}
-	c.core.Release(now, partition, reason)
-	if w := c.writers[partition]; w != nil {
-		w.stop()
-		delete(c.writers, partition)
+	for id := range c.terms {
+		c.core.Suspend(now, id.Partition, !valid)
 	}
 }
 
@@ -97,11 +84,8 @@
 		return false
 	}
 	c.leaving = true
-	for p := range c.writers {
-		c.release(now, p, "stopping")
-	}
-	for p := range c.loading {
-		c.release(now, p, "stopping")
+	for id := range c.terms {
+		c.endTerm(now, id, "stopping")
 	}
 	c.owned.Clear()
 	return true
--- a/jobs/coordinator/perform.go
+++ b/jobs/coordinator/perform.go
@@ -31,9 +31,7 @@
 	c.performClaims(now)
 	e := c.core.Take(now)
 	for _, commit := range e.Commits {
-		if w := c.writers[commit.Partition]; w != nil {
-			w.work <- commit
-		}
+		c.append(commit)
 	}
 	for _, s := range e.Sends {
 		c.sendWorker(now, s)
--- a/jobs/coordinator/writer.go
+++ b/jobs/coordinator/writer.go
@@ -6,37 +6,33 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lichenfall/lichenfall/jobs/ownership"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/jobs/store"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/lib/loop"
 )
 
-// writer appends the commits of one partition to the store, one at a time.
-type writer struct {
-	work chan scheduler.Commit
-	stop context.CancelFunc
-}
-
-func (c *Coordinator) newWriter(partition uint32, epoch uint64) *writer {
-	ctx, cancel := context.WithCancel(c.ctx)
-	w := &writer{work: make(chan scheduler.Commit, 1), stop: cancel}
-	go c.write(ctx, w, partition, epoch)
-	return w
+// startAppending starts the goroutine that appends the commits of a term to the store, one at a time.
+func (c *Coordinator) startAppending(id ownership.Term, t *term) {
+	ctx, stop := context.WithCancel(c.ctx)
+	t.stop = stop
+	t.commits = make(chan scheduler.Commit, 1)
+	go c.write(ctx, id, t.commits)
 }
 
 // write appends commits and posts their results until ctx ends.
-func (c *Coordinator) write(ctx context.Context, w *writer, partition uint32, epoch uint64) {
+func (c *Coordinator) write(ctx context.Context, id ownership.Term, commits <-chan scheduler.Commit) {
 	a := &appender{store: c.store, limit: c.cfg.Ownership.AppendLimit.D(), appending: store.NewAppendTracker(), log: c.log}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case commit := <-w.work:
+		case commit := <-commits:
 			began := time.Now()
 			result := a.append(ctx, commit)
 			c.metrics.Commit(result.String(), len(commit.Records), time.Since(began))
-			c.loop.Post(committed{partition, epoch, result})
+			c.postResult(id, committed{result})
 		}
 	}
 }
--- a/jobs/fakestore/state.go
+++ b/jobs/fakestore/state.go
@@ -2,8 +2,8 @@
 // lichenfall: partitions with fenced and numbered appends that keep the newest record of
 // each key, and a group among whose members the partitions are divided. State is the
 // service itself, without clock and I/O; Store adds the clock and implements store.Store.
-// Tests can make it refuse calls, hide the registered processes and revoke partitions;
-// lost and late answers are left to the tests that use State.
+// Tests can make it refuse calls, hide the registered processes and revoke partitions. A
+// Client is the Store as one process reaches it, with calls and answers that arrive late.
 package fakestore
 
 import (
--- a/jobs/fakestore/store.go
+++ b/jobs/fakestore/store.go
@@ -62,6 +62,13 @@
 	s.notify()
 }
 
+// Reassign revokes all partitions and assigns each anew at once, as State.Reassign does.
+func (s *Store) Reassign(shift int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Reassign(time.Now(), shift)
+}
+
 // notify wakes all watches. The caller holds mu.
 func (s *Store) notify() {
 	close(s.changed)
--- a/jobs/ownership/ownership.go
+++ b/jobs/ownership/ownership.go
@@ -1,5 +1,5 @@
 // Package ownership tracks which partitions a coordinator owns, and until when it may act on
-// them. It owns the list of partitions with their epochs and the end of the lease on them. It
+// them. It owns the terms, each with its fencing epoch, and the end of the lease on them. It
 // relies on the store to raise the generation with each change of the assignment: the
 // generation under which a partition is acquired is its fencing epoch. It does no I/O and reads
 // no clock.
@@ -12,26 +12,34 @@
 	"github.com/lichenfall/lichenfall/jobs/store"
 )
 
-// Change lists the partitions that a join has acquired and released. A partition may be in both
+// Term is one ownership of a partition, from the join that acquires the partition until it is
+// released. A process never has two terms of one partition under the same epoch, so that a Term
+// identifies what was begun in it: readings and appends that end later concern no other term.
+type Term struct {
+	Partition uint32
+	Epoch     uint64 // fencing epoch: the generation under which the partition was acquired
+}
+
+// Change lists the terms that a join has begun and ended. A partition may have one in both
 // lists: another member may have owned it in between, so it has to be read again.
 type Change struct {
-	Acquired []uint32 // under Epoch
-	Released []uint32
-	Epoch    uint64 // the generation of the assignment
+	Acquired []Term
+	Released []Term
 }
 
-// Table tracks the partitions of one member of the group of owners.
+// Table tracks the terms of one member of the group of owners. At most one of a partition lasts.
 type Table struct {
 	TTL time.Duration // the lease that the member requests with each join
 
 	generation uint64
-	held       map[uint32]uint64 // epochs by partition
+	held       map[uint32]Term   // by partition
+	lost       map[uint32]uint64 // epoch of the last term that Lost has ended, by partition
 	validUntil time.Time
 }
 
 // New returns a table without partitions. ttl is the lease that each join requests.
 func New(ttl time.Duration) *Table {
-	return &Table{TTL: ttl, held: make(map[uint32]uint64)}
+	return &Table{TTL: ttl, held: make(map[uint32]Term), lost: make(map[uint32]uint64)}
 }
 
 // Generation returns the generation of the last assignment.
@@ -41,27 +49,37 @@
 // still ours.
 func (t *Table) Valid(now time.Time) bool { return now.Before(t.validUntil) }
 
-// Lost removes a partition for which a newer owner has been seen. If it is assigned to this
-// member again, Joined reports it as acquired, so that it is read again.
-func (t *Table) Lost(partition uint32) { delete(t.held, partition) }
+// Lost ends a term, since the store has refused an epoch that is not the newest. The partition is
+// acquired again only under a higher epoch: the store has counted appends under this one.
+func (t *Table) Lost(term Term) {
+	if t.held[term.Partition] != term {
+		return
+	}
+	delete(t.held, term.Partition)
+	t.lost[term.Partition] = term.Epoch
+}
 
 // Joined applies the answer to a join, and returns what it changes. The lease counts from sent,
-// when the join was sent: the store starts it on arrival of the call, which is not earlier.
+// when the join was sent: the store starts it on arrival of the call, which is not earlier. An
+// answer of an earlier generation than the last one is late, and changes nothing.
 func (t *Table) Joined(sent, now time.Time, a store.Assignment) Change {
-	c := Change{Epoch: a.Generation}
+	if a.Generation < t.generation {
+		return Change{}
+	}
+	var c Change
 	// Another member may have owned our partitions in between: the assignment changed while our
 	// lease had expired, or it changed more than once since the last join.
 	gap := a.Generation != t.generation && !t.Valid(now) || a.Generation > t.generation+1
-	for p := range t.held {
+	for p, term := range t.held {
 		if gap || !slices.Contains(a.Partitions, p) {
-			c.Released = append(c.Released, p)
+			c.Released = append(c.Released, term)
 			delete(t.held, p)
 		}
 	}
 	for _, p := range a.Partitions {
-		if _, ok := t.held[p]; !ok {
-			c.Acquired = append(c.Acquired, p)
-			t.held[p] = a.Generation
+		if _, ok := t.held[p]; !ok && a.Generation > t.lost[p] {
+			t.held[p] = Term{p, a.Generation}
+			c.Acquired = append(c.Acquired, t.held[p])
 		}
 	}
 	t.generation = a.Generation
@@ -71,5 +89,5 @@
 	return c
 }
 
-// Clear removes all partitions.
-func (t *Table) Clear() { t.held = make(map[uint32]uint64) }
+// Clear ends all terms.
+func (t *Table) Clear() { t.held = make(map[uint32]Term) }
--- a/jobs/ownership/ownership_test.go
+++ b/jobs/ownership/ownership_test.go
@@ -29,11 +29,10 @@
 
 	It("are acquired and released as the assignment changes", func() {
 		c := join(0, 0, 3, 1, 2)
-		Expect(c.Acquired).To(ConsistOf(uint32(1), uint32(2)))
-		Expect(c.Epoch).To(Equal(uint64(3)))
+		Expect(c.Acquired).To(ConsistOf(ownership.Term{Partition: 1, Epoch: 3}, ownership.Term{Partition: 2, Epoch: 3}))
 		c = join(200*time.Millisecond, 200*time.Millisecond, 4, 2, 5)
-		Expect(c.Acquired).To(ConsistOf(uint32(5)))
-		Expect(c.Released).To(ConsistOf(uint32(1)))
+		Expect(c.Acquired).To(ConsistOf(ownership.Term{Partition: 5, Epoch: 4}))
+		Expect(c.Released).To(ConsistOf(ownership.Term{Partition: 1, Epoch: 3}))
 	})
 
 	It("are leased from the time at which the join was sent, not from its answer", func() {
@@ -52,24 +51,42 @@
 	It("are acquired again if the generation has changed since the lease expired", func() {
 		join(0, 0, 1, 1)
 		c := join(5*time.Second, 5*time.Second, 3, 1)
-		Expect(c.Released).To(ConsistOf(uint32(1)))
-		Expect(c.Acquired).To(ConsistOf(uint32(1)))
-		Expect(c.Epoch).To(Equal(uint64(3)))
+		Expect(c.Released).To(ConsistOf(ownership.Term{Partition: 1, Epoch: 1}))
+		Expect(c.Acquired).To(ConsistOf(ownership.Term{Partition: 1, Epoch: 3}))
 	})
 
 	It("are acquired again after more than one change of the generation, since another member may have owned them in between", func() {
 		join(0, 0, 1, 1, 2)
 		c := join(100*time.Millisecond, 100*time.Millisecond, 2, 1)
-		Expect(c.Released).To(ConsistOf(uint32(2)))
+		Expect(c.Released).To(ConsistOf(ownership.Term{Partition: 2, Epoch: 1}))
 		c = join(200*time.Millisecond, 200*time.Millisecond, 4, 1)
-		Expect(c.Released).To(ConsistOf(uint32(1)))
-		Expect(c.Acquired).To(ConsistOf(uint32(1)))
+		Expect(c.Released).To(ConsistOf(ownership.Term{Partition: 1, Epoch: 1}))
+		Expect(c.Acquired).To(ConsistOf(ownership.Term{Partition: 1, Epoch: 4}))
 	})
 
-	It("are acquired again after another owner was seen", func() {
+	It("are acquired again after another owner was seen, under a higher epoch only", func() {
 		join(0, 0, 1, 1)
-		table.Lost(1)
-		c := join(100*time.Millisecond, 100*time.Millisecond, 2, 1)
-		Expect(c.Acquired).To(ConsistOf(uint32(1)))
+		table.Lost(ownership.Term{Partition: 1, Epoch: 1})
+		c := join(50*time.Millisecond, 50*time.Millisecond, 1, 1)
+		Expect(c.Acquired).To(BeEmpty())
+		c = join(100*time.Millisecond, 100*time.Millisecond, 2, 1)
+		Expect(c.Acquired).To(ConsistOf(ownership.Term{Partition: 1, Epoch: 2}))
+	})
+
+	It("are kept when an earlier term of theirs is lost", func() {
+		join(0, 0, 1, 1)
+		join(100*time.Millisecond, 100*time.Millisecond, 3, 1)
+		table.Lost(ownership.Term{Partition: 1, Epoch: 1})
+		c := join(200*time.Millisecond, 200*time.Millisecond, 3, 1)
+		Expect(c.Acquired).To(BeEmpty())
+		Expect(c.Released).To(BeEmpty())
+	})
+
+	It("are not changed by the late answer to an earlier join", func() {
+		join(0, 0, 5, 1)
+		c := join(100*time.Millisecond, 100*time.Millisecond, 4, 2)
+		Expect(c.Acquired).To(BeEmpty())
+		Expect(c.Released).To(BeEmpty())
+		Expect(table.Generation()).To(Equal(uint64(5)))
 	})
 })
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -113,11 +113,11 @@
 
 func (n *coordinatorNode) joined(sent time.Time, a store.Assignment) {
 	change := n.owned.Joined(sent, n.now(), a)
-	for _, p := range change.Released {
-		n.release(p)
+	for _, term := range change.Released {
+		n.release(term.Partition)
 	}
-	for _, p := range change.Acquired {
-		n.load(p, change.Epoch)
+	for _, term := range change.Acquired {
+		n.load(term.Partition, term.Epoch)
 	}
 	n.updateSuspended()
 	n.core.Confirmed(n.now(), sent)
@@ -163,7 +163,7 @@
 			case ok && err == nil:
 				n.read(p, epoch, ticket)
 			case ok && err == store.ErrFenced:
-				n.owned.Lost(p)
+				n.owned.Lost(ownership.Term{Partition: p, Epoch: epoch})
 				n.release(p)
 			default:
 				again()
@@ -248,7 +248,7 @@
 		n.core.Committed(n.now(), c.Partition, c.Epoch, scheduler.CommitRefused)
 	default:
 		n.core.Committed(n.now(), c.Partition, c.Epoch, scheduler.CommitFenced)
-		n.owned.Lost(c.Partition)
+		n.owned.Lost(ownership.Term{Partition: c.Partition, Epoch: c.Epoch})
 		n.release(c.Partition)
 	}
 	n.perform()
