runtable: conclude nothing from lists that may lack ends

Cause: the users' backend servers list 500 ends at once, the first ones. With more waiting to be acknowledged, a run whose end is hidden was neither running nor listed; it was stopped as a straggler, and the next list was taken for proof that it had never started. A worker's new process reported the listed ends as if they were all, and the owner queued the other tasks.

Ruled out: that ends were lost or acknowledged early (the record shows each noted after the second start); that a takeover from a worker that did not restart lacks runs (they are in its table).

Change: a renewal's answer says whether there may be more than it lists, and only a whole list proves absence. A run that was accepted and runs no more is over, though its end is hidden: its capacity is free and it is no straggler. A new process reports known ends first, and all else when a whole list has shown it; until then it says so at each heartbeat (ReportPending), and the owner does not write it off.

--- a/jobs/coordinator/links.go
+++ b/jobs/coordinator/links.go
@@ -129,6 +129,8 @@
 		c.core.Ends(now, e.address, m)
 	case *wire.PartitionRuns:
 		c.core.Runs(now, e.address, m)
+	case *wire.ReportPending:
+		c.core.ReportPending(now, e.address, m)
 	case *wire.JobCall:
 		c.handleForwarded(now, e.conn, m)
 	case *wire.JobReply:
--- a/jobs/fakebackend/backend.go
+++ b/jobs/fakebackend/backend.go
@@ -28,6 +28,9 @@
 	// and StopGrace must be set before the first call of a method.
 	TaskTimeOf func(durable.TaskID) time.Duration
 	StopGrace  time.Duration // how long a run continues after a request to stop it
+	// ListedEnds is how many ends it lists at once: the first that are not acknowledged. It must be
+	// set before the first call of a method.
+	ListedEnds int
 
 	mu            sync.Mutex
 	instance      string
@@ -71,17 +74,21 @@
 // renewPollInterval is the pause between two checks for new ends while a renewal waits.
 const renewPollInterval = 2 * time.Millisecond
 
+// defaultListedEnds is how many ends the users' backend servers list at once.
+const defaultListedEnds = 500
+
 // New returns an idle backend server whose runs take the time given.
 func New(service string, capacity durable.Resources, taskTime time.Duration) *Backend {
 	return &Backend{
-		Capacity:  capacity,
-		Service:   service,
-		TaskTime:  taskTime,
-		instance:  uuid.NewString(),
-		born:      time.Now().Add(-time.Second),
-		running:   make(map[wire.RunRef]activeRun),
-		newestRun: make(map[durable.TaskID]uint32),
-		starts:    make(map[durable.TaskID]int),
+		Capacity:   capacity,
+		Service:    service,
+		TaskTime:   taskTime,
+		ListedEnds: defaultListedEnds,
+		instance:   uuid.NewString(),
+		born:       time.Now().Add(-time.Second),
+		running:    make(map[wire.RunRef]activeRun),
+		newestRun:  make(map[durable.TaskID]uint32),
+		starts:     make(map[durable.TaskID]int),
 	}
 }
 
@@ -284,6 +291,8 @@
 	for ref := range b.running {
 		a.Running = append(a.Running, runtable.ListedRun{Ref: ref, Percent: b.percent(ref)})
 	}
-	a.Ended = append(a.Ended, b.unacked...)
+	listed := min(len(b.unacked), b.ListedEnds)
+	a.Ended = append(a.Ended, b.unacked[:listed]...)
+	a.MoreEnded = listed == b.ListedEnds
 	return a, len(a.Ended) > 0
 }
--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -351,6 +351,11 @@
 	for _, ref := range b.refs() {
 		a.Running = append(a.Running, runtable.ListedRun{Ref: ref, Percent: b.running[ref].percent(b.w.now)})
 	}
-	a.Ended = append(a.Ended, b.ended...)
+	listed := min(len(b.ended), b.w.listedEnds)
+	a.Ended = append(a.Ended, b.ended[:listed]...)
+	a.MoreEnded = listed == b.w.listedEnds
+	if listed < len(b.ended) {
+		b.w.counts["cut lists"]++
+	}
 	return a
 }
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -419,6 +419,8 @@
 		n.core.Status(n.now(), c.to.name, m)
 	case *wire.RunEnds:
 		n.core.Ends(n.now(), c.to.name, m)
+	case *wire.ReportPending:
+		n.core.ReportPending(n.now(), c.to.name, m)
 	case *wire.PartitionRuns:
 		n.core.Runs(n.now(), c.to.name, m)
 	}
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -59,6 +59,7 @@
 	// any order of their streams, with the tick before or after them.
 	shuffleInbox    bool
 	operators       operators
+	listedEnds      int            // how many ends a backend server lists at once, the first ones
 	noFaults        bool           // no faults are injected; stricter bounds hold
 	storeTroubledAt time.Time      // when the store was last unavailable or lost answers
 	taskTime        time.Duration  // of each run; 0 for a random one of 30 to 400 ms
@@ -96,6 +97,9 @@
 	return e
 }
 
+// platformListedEnds is how many ends the users' backend servers list at once.
+const platformListedEnds = 500
+
 const (
 	coordinatorCount = 3
 	workerCount      = 4
@@ -123,6 +127,7 @@
 		runs:       &runs,
 		dedup:      config.DefaultDedup(),
 		counts:     make(map[string]int),
+		listedEnds: platformListedEnds,
 		operators:  operators{offset: 1, evacuated: make(map[string]time.Time)},
 	}
 	set(w)
--- a/jobs/runtable/calls.go
+++ b/jobs/runtable/calls.go
@@ -100,6 +100,10 @@
 	Clock   time.Duration // the backend server's clock, if Result is RenewOK or RenewFenced
 	Running []ListedRun
 	Ended   []ListedEnd
+	// MoreRunning and MoreEnded say that there may be runs or ends that the lists do not have. The
+	// backend server lists further ends once some that it has listed are acknowledged.
+	MoreRunning bool
+	MoreEnded   bool
 }
 
 // Incarnation returns the incarnation that the call is meant for.
--- a/jobs/runtable/crash.go
+++ b/jobs/runtable/crash.go
@@ -37,6 +37,10 @@
 			t.reportEarlierEnd(now, r)
 			continue
 		}
+		if r.over() {
+			t.endRun(now, r, wire.EndLost, reasonUnlisted)
+			continue
+		}
 		e := t.crashedEnd(now, r, suspects, reason)
 		if suspected {
 			t.suspectCrash(now, r.lease, &e)
@@ -67,7 +71,7 @@
 func (t *Table) suspects() int {
 	n := 0
 	for _, r := range t.runs {
-		if r.suspect() {
+		if r.suspect() && !r.over() {
 			n++
 		}
 	}
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -17,6 +17,8 @@
 	RunAdopted          Decision = "run_adopted"           // an earlier process of this worker started it
 	RunUnknown          Decision = "run_unknown"           // a bug: listed as running but not in the table; stopped
 	RunRefused          Decision = "run_refused"           // an order was handed back
+	ListsCut            Decision = "lists_cut"             // the lists may lack runs or ends: nothing follows from that
+	EndUnlisted         Decision = "end_unlisted"          // it has ended; how is not listed yet
 	StartRepeated       Decision = "start_repeated"        // an order had no answer and is sent again
 	StartUnanswered     Decision = "start_unanswered"      // still no answer: the run is stopped
 	StragglerStopped    Decision = "straggler_stopped"     // it exceeds its limit
@@ -38,6 +40,7 @@
 	reasonSilent          = "backend_silent"     // the backend server does not answer
 	reasonNoAnswer        = "no_answer"          // one call had no answer
 	reasonRefused         = "connection_refused" // nothing listens at the address any more
+	reasonUnlisted        = "end_unlisted"       // it had ended; how is lost with the backend server
 	reasonIncarnationOver = "life_over"          // another incarnation is in force now
 	reasonOvertaken       = "overtaken"          // a later report has arrived before
 	suffixAnnounced       = " announced"         // the backend server had announced its end
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -10,10 +10,6 @@
 // their connection. It exceeds the time that a coordinator takes to reconnect.
 const recentEndTTL = 5 * time.Second
 
-// unknownStopInterval is the least time between two stops of unknown runs: about what a stop
-// takes.
-const unknownStopInterval = 50 * time.Millisecond
-
 // end is the end of a run, which the backend server remembers until it is acknowledged.
 type end struct {
 	number   uint64
@@ -29,49 +25,6 @@
 	at     time.Time
 }
 
-// applyLists applies the lists in the answer to a renewal.
-func (t *Table) applyLists(now time.Time, call RenewCall, a *RenewAnswer) {
-	running := make(map[wire.RunRef]bool, len(a.Running))
-	for _, l := range a.Running {
-		running[l.Ref] = true
-		if r := t.runs[l.Ref]; r != nil {
-			r.listed = true
-		}
-	}
-	t.stopUnknown(now, a.Running)
-	for i := range a.Ended {
-		t.addEnd(now, &a.Ended[i])
-	}
-	if !t.synced {
-		t.adopt(now, a.Running)
-		t.stopInherited()
-		t.synced = true
-		t.syncedAt = now
-		t.reportAll(now)
-		t.queueStatuses()
-	}
-	t.noteProgress(now, call.Seq, a.Running)
-	t.resolveVerified(now, call.Seq, running)
-	t.acknowledgeStored()
-}
-
-// stopUnknown stops best-effort runs that are listed and not in the table: no coordinator waits
-// for them, and their tasks may run elsewhere. A delayed list may show a run that has ended
-// since; such a run is left alone.
-func (t *Table) stopUnknown(now time.Time, running []ListedRun) {
-	if !t.synced || now.Sub(t.unknownStoppedAt) < unknownStopInterval {
-		return
-	}
-	for _, l := range running {
-		_, ended := t.recentEnds[l.Ref]
-		if l.Ref.BestEffort() && t.runs[l.Ref] == nil && !ended {
-			t.unknownStoppedAt = now
-			t.noteFrequent(RunUnknown, l.Ref, reasonStopping)
-			t.addStopCall(l.Ref)
-		}
-	}
-}
-
 // addEnd adds a listed end.
 func (t *Table) addEnd(now time.Time, l *ListedEnd) {
 	if l.Number <= t.lastListedEnd {
@@ -102,7 +55,7 @@
 // reportListedEnd reports the end to the owner of the lease, provided that the owner has been
 // sent what came before.
 func (t *Table) reportListedEnd(key leaseKey, e *end) {
-	if l := t.leases[key]; l != nil && l.reported {
+	if l := t.leases[key]; l != nil && (l.reported || l.endsReported) {
 		t.sendEnd(l.conn, e.report)
 	}
 }
@@ -198,7 +151,7 @@
 // what is known under it.
 func (t *Table) reportedTo(key leaseKey, conn string) bool {
 	l := t.leases[key]
-	return l != nil && l.conn == conn && l.reported
+	return l != nil && l.conn == conn && (l.reported || l.endsReported)
 }
 
 // acknowledgeStored drops the stored ends up to the first that is not stored, since the backend
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -108,7 +108,7 @@
 	t.clock, t.clockAt = 0, time.Time{}
 	t.leaseDeadline, t.leaseEnds = 0, time.Time{}
 	t.silent, t.refusedAt = false, time.Time{}
-	t.synced = false
+	t.synced, t.complete = false, false
 	t.lapsing = false
 	t.hasIdentity = false
 	t.identity.Ready = false
--- a/jobs/runtable/lapse.go
+++ b/jobs/runtable/lapse.go
@@ -122,6 +122,7 @@
 	for _, e := range t.ends {
 		e.stored = true
 	}
+	t.complete = t.complete || t.synced // nothing of earlier processes can be running
 	t.acknowledgeStored()
 	t.effects.Renew = true
 	t.reportAll(now)
--- a/jobs/runtable/leases.go
+++ b/jobs/runtable/leases.go
@@ -28,6 +28,9 @@
 	conn     string // connection on which the owner was last active
 	expires  time.Time
 	reported bool // the owner has been sent all that is known under the lease
+	// endsReported says that the owner has been sent the ends that are known, before the table is
+	// complete.
+	endsReported bool
 	// confirmed says that the owner has reported, on a connection to this process, that the
 	// store confirmed its ownership of the partition.
 	confirmed bool
@@ -100,11 +103,14 @@
 	if p.Epoch > l.epoch || l.conn != conn {
 		l.epoch = p.Epoch
 		l.conn = conn
-		l.reported = false
+		l.reported, l.endsReported = false, false
 		l.confirmed = false
 	}
 	l.confirmed = l.confirmed || m.Confirmed
 	t.extendOwnerLease(l, m.Echo, t.cfg.OwnerLease)
 	t.reportPartition(key, l)
+	if t.synced && !l.reported {
+		t.send(conn, &wire.ReportPending{Partition: p.Partition, Epoch: p.Epoch})
+	}
 	return true
 }
--- a/jobs/runtable/outcomes.go
+++ b/jobs/runtable/outcomes.go
@@ -25,7 +25,7 @@
 func (o *outcomes) ended(now time.Time, r *run, how wire.End) {
 	switch how {
 	case wire.EndDone:
-		o.addTime(now, r, now.Sub(r.started))
+		o.addTime(now, r, r.lasted(now))
 		o.failing -= failureWeight * o.failing
 	case wire.EndStraggled:
 		o.addTime(now, r, r.expected(now))
@@ -45,7 +45,7 @@
 // count by their duration so far, or at their present pace.
 func (t *Table) slowness(now time.Time) float64 {
 	var running []speed.Running
-	for _, ref := range t.refsWhere(func(r *run) bool { return r.state == runRunning && r.measured() }) {
+	for _, ref := range t.refsWhere(func(r *run) bool { return r.state == runRunning && !r.over() && r.measured() }) {
 		r := t.runs[ref]
 		running = append(running, speed.Running{MinRatio: r.ratio(r.expected(now)), EndedBefore: r.endedBefore})
 	}
--- a/jobs/runtable/owners.go
+++ b/jobs/runtable/owners.go
@@ -12,7 +12,7 @@
 type owner struct {
 	member       string        // ID of its process
 	connNumber   uint64        // rises with each connection to this process
-	queryPending bool          // a query about best-effort runs is to be answered once the table is synced
+	queryPending bool          // a query about best-effort runs is to be answered once the table is complete
 	queries      []wire.RunRef // the runs that the query names
 	heartbeatSeq uint64        // of the newest heartbeat
 	startSeq     uint64        // of the newest StartRuns
@@ -83,12 +83,16 @@
 }
 
 // reportPartition sends the owner all that is known of the partition, once per epoch and
-// connection, as soon as the table is synced and the owner is confirmed. An owner that has been
+// connection, as soon as the table is complete and the owner is confirmed. An owner that has been
 // superseded would otherwise have the worker forget the ends of its successor's runs.
 func (t *Table) reportPartition(key leaseKey, l *ownerLease) {
 	if l.reported || !l.confirmed || t.lapsing || !t.synced || t.owners[l.conn] == nil {
 		return
 	}
+	if !t.complete {
+		t.reportKnownEnds(key, l)
+		return
+	}
 	l.reported = true
 	m := &wire.PartitionRuns{Partition: key.partition, Epoch: l.epoch, StartSeq: t.owners[l.conn].startSeq}
 	for _, ref := range t.sortedRefs() {
@@ -105,7 +109,21 @@
 	t.send(l.conn, m)
 }
 
-// reportAll sends the reports and answers that were waiting for the table to be synced.
+// reportKnownEnds sends the owner the ends that are known before the table is complete, and later ones
+// as they are listed. Further ends are listed only once these are acknowledged.
+func (t *Table) reportKnownEnds(key leaseKey, l *ownerLease) {
+	if l.endsReported {
+		return
+	}
+	l.endsReported = true
+	for _, e := range ordered.Values(t.ends) {
+		if e.lease == key && !e.stored {
+			t.sendEnd(l.conn, e.report)
+		}
+	}
+}
+
+// reportAll sends the reports and answers that were waiting for the table to be complete.
 func (t *Table) reportAll(now time.Time) {
 	for _, key := range ordered.KeysFunc(t.leases, compareLeaseKeys) {
 		t.reportPartition(key, t.leases[key])
@@ -144,20 +162,23 @@
 	t.answerQueries(now, conn)
 }
 
-// answerQueries reports to a coordinator the state of the runs that its query names. It becomes an
-// owner of those that are here. Its other runs are stopped, since the query names all
-// that it still wants.
+// answerQueries reports to a coordinator the state of the runs that its query names, once the table
+// is complete. It becomes an owner of those that are here. Its other runs are stopped, since the
+// query names all that it still wants.
 func (t *Table) answerQueries(now time.Time, conn string) {
 	o := t.owners[conn]
 	if !o.queryPending || t.lapsing || !t.synced {
 		return
 	}
+	t.claimQueried(o)
+	if !t.complete {
+		return
+	}
 	o.queryPending = false
 	t.stopUnqueried(now, o)
 	m := &wire.PartitionRuns{Partition: wire.BestEffortRuns}
 	for _, ref := range o.queries {
 		if r := t.runs[ref]; r != nil {
-			r.addOwner(leaseKey{member: o.member})
 			m.Running = append(m.Running, ref)
 		} else if e, ok := t.recentEnds[ref]; ok {
 			m.Ended = append(m.Ended, e.report)
@@ -167,6 +188,15 @@
 	t.send(conn, m)
 }
 
+// claimQueried makes the coordinator an owner of the runs that its query names.
+func (t *Table) claimQueried(o *owner) {
+	for _, ref := range o.queries {
+		if r := t.runs[ref]; r != nil {
+			r.addOwner(leaseKey{member: o.member})
+		}
+	}
+}
+
 // stopUnqueried stops the coordinator's best-effort runs that its query does not name. None of
 // them was ordered after the query, since orders arrive on the same connection.
 func (t *Table) stopUnqueried(now time.Time, o *owner) {
--- a/jobs/runtable/run.go
+++ b/jobs/runtable/run.go
@@ -31,6 +31,8 @@
 	state       runState
 	firstSent   time.Time // when the first order was sent to the backend server
 	started     time.Time // when the start was answered, or the run adopted
+	startedSeq  uint64    // renewals with a greater Seq were requested after that
+	overAt      time.Time // when a list first showed that it had ended, before its end was listed; zero before
 	verifyAfter uint64    // only a renewal with a greater Seq shows what became of it
 	// stopOnceStarted says that the run is to be stopped as soon as its start is answered.
 	stopOnceStarted bool
@@ -67,14 +69,23 @@
 	}
 }
 
-// age returns how long the run has been running, in milliseconds.
-func (r *run) age(now time.Time) int64 {
-	if r.started.IsZero() {
+// over returns whether the run has ended, although its end is not listed yet.
+func (r *run) over() bool { return !r.overAt.IsZero() }
+
+// lasted returns for how long the run has been running, or did run if it has ended.
+func (r *run) lasted(now time.Time) time.Duration {
+	switch {
+	case r.started.IsZero():
 		return 0
+	case r.over():
+		return r.overAt.Sub(r.started)
 	}
-	return now.Sub(r.started).Milliseconds()
+	return now.Sub(r.started)
 }
 
+// age returns how long the run has been running, in milliseconds.
+func (r *run) age(now time.Time) int64 { return r.lasted(now).Milliseconds() }
+
 // limit returns how long the run may take; 0 means without limit. A cold backend server has no
 // limit, since the next run there would be as slow.
 func (r *run) limit() time.Duration {
@@ -115,6 +126,9 @@
 	used := durable.Resources{}
 	unknown := false
 	for _, r := range t.runs {
+		if r.over() {
+			continue
+		}
 		unknown = unknown || r.needUnknown
 		used = used.Add(r.order.Need)
 	}
@@ -129,7 +143,7 @@
 
 // adopt takes over the runs that an earlier process of this worker started. The lease that the
 // earlier process requested may last for up to a full lease from now.
-func (t *Table) adopt(now time.Time, running []ListedRun) {
+func (t *Table) adopt(now time.Time, call RenewCall, running []ListedRun) {
 	t.leaseEnds = latest(t.leaseEnds, now.Add(t.withDrift(t.cfg.BackendLease)))
 	for _, l := range running {
 		if t.runs[l.Ref] != nil {
@@ -145,6 +159,7 @@
 			lease:       key,
 			state:       runRunning,
 			started:     now,
+			startedSeq:  call.Seq,
 			listed:      true,
 		}
 		t.note(RunAdopted, l.Ref, "")
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -82,6 +82,9 @@
 	clockAt      time.Time
 	synced       bool // the list of runs has been read under our token
 	syncedAt     time.Time
+	// complete says that a whole list has been read under our token: runs and ends have all that
+	// earlier processes of this worker left.
+	complete bool
 
 	runs          map[wire.RunRef]*run
 	outcomes      outcomes        // of the runs of this incarnation
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -105,6 +105,7 @@
 	case StartAccepted:
 		r.state = runRunning
 		r.started = now
+		r.startedSeq = t.renewSeq
 		r.endedBefore = t.outcomes.speed.Runs()
 		r.cold = now.Before(t.coldUntil)
 		if r.stopOnceStarted {
@@ -156,7 +157,7 @@
 	}
 	if result == StartFenced {
 		t.token = 0
-		t.synced = false
+		t.synced, t.complete = false, false
 	}
 	if r.unanswered {
 		t.sendStop(r)
--- a/jobs/runtable/stops.go
+++ b/jobs/runtable/stops.go
@@ -68,8 +68,8 @@
 	t.effects.Renew = true
 }
 
-// resolveVerified decides what became of stopped runs. A list that was requested after the stop and
-// shows neither the run nor its end proves that the run never started.
+// resolveVerified decides what became of stopped runs, by a whole list. One that was requested after
+// the stop and shows neither the run nor its end proves that the run never started.
 func (t *Table) resolveVerified(now time.Time, seq uint64, running map[wire.RunRef]bool) {
 	verified := func(r *run) bool { return r.state == runVerifying && seq > r.verifyAfter }
 	for _, ref := range t.refsWhere(verified) {
@@ -93,7 +93,7 @@
 // instead of at the limit: with a task of 200 ms, after some 80 ms instead of 750.
 func (t *Table) stopStragglers(now time.Time) {
 	straggles := func(r *run) bool {
-		return r.state == runRunning && r.limit() != 0 && r.expected(now) > r.limit() && r.remaining(now) > r.restartTime()
+		return r.state == runRunning && !r.over() && r.limit() != 0 && r.expected(now) > r.limit() && r.remaining(now) > r.restartTime()
 	}
 	for _, ref := range t.refsWhere(straggles) {
 		r := t.runs[ref]
--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -23,6 +23,7 @@
 	WorkerUp            Decision = "worker_up"             // connected
 	WorkerDown          Decision = "worker_down"           // its connection is lost
 	WorkerSilent        Decision = "worker_silent"         // it sent no status for too long; its connection is given up
+	ReportAwaited       Decision = "report_awaited"        // it keeps a partition's runs, and reports them later
 	WorkerWrittenOff    Decision = "worker_written_off"    // it never reported a partition's runs; its leases have expired
 	WorkerEjected       Decision = "worker_ejected"        // its runs are slow or fail: it gets only probes
 	WorkerRestored      Decision = "worker_restored"       // its runs are neither slow nor failing any more
--- a/jobs/scheduler/partition.go
+++ b/jobs/scheduler/partition.go
@@ -13,9 +13,9 @@
 	number    uint32
 	epoch     uint64
 	jobs      map[durable.JobID]*job
-	suspended bool                 // our lease on it may have expired
-	fencedAt  time.Time            // when a worker last reported a later owner
-	awaiting  map[string]time.Time // workers still to report their runs of it, and until when to wait
+	suspended bool                // our lease on it may have expired
+	fencedAt  time.Time           // when a worker last reported a later owner
+	awaiting  map[string]*awaited // workers still to report their runs of it
 
 	submitted []*job    // jobs whose submission is to be written
 	changed   []*job    // jobs whose progress is to be written
@@ -25,6 +25,20 @@
 	sweepAt   time.Time // of the next sweep of final jobs
 }
 
+// awaited is a worker that has not reported its runs of a partition yet.
+type awaited struct {
+	until   time.Time // when what it ran for earlier owners has certainly ended
+	pending bool      // it has said that our heartbeats keep its runs alive
+}
+
+// writtenOff returns whether the worker's runs of the partition have certainly ended.
+func (c *Core) writtenOff(now time.Time, w *worker, a *awaited) bool {
+	if a.pending && now.Sub(w.heartbeatAt) <= c.cfg.WriteOff {
+		return false
+	}
+	return now.After(a.until)
+}
+
 // requestCommit makes the next commit due by that time at the latest.
 func (p *partition) requestCommit(by time.Time) {
 	if p.commitBy.IsZero() || by.Before(p.commitBy) {
@@ -49,7 +63,7 @@
 		number:   number,
 		epoch:    epoch,
 		jobs:     make(map[durable.JobID]*job, len(stored)),
-		awaiting: make(map[string]time.Time),
+		awaiting: make(map[string]*awaited),
 	}
 	c.partitions[number] = p
 	open := 0
@@ -61,7 +75,7 @@
 	}
 	if len(stored) > 0 { // otherwise no worker can have runs of it
 		for _, w := range c.allWorkers {
-			p.awaiting[w.name] = now.Add(c.cfg.WriteOff)
+			p.awaiting[w.name] = &awaited{until: now.Add(c.cfg.WriteOff)}
 		}
 	}
 	for _, w := range c.allWorkers {
@@ -165,8 +179,7 @@
 func (c *Core) tickPartitions(now time.Time) {
 	for _, p := range ordered.Values(c.partitions) {
 		for _, name := range ordered.Keys(p.awaiting) {
-			until := p.awaiting[name]
-			if now.After(until) {
+			if c.writtenOff(now, c.workers[name], p.awaiting[name]) {
 				c.note(Note{What: WorkerWrittenOff, Worker: name, Measure: PartitionNumber, Value: int64(p.number)})
 				delete(p.awaiting, name)
 			}
--- a/jobs/scheduler/reports.go
+++ b/jobs/scheduler/reports.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// ReportPending handles a worker's notice that it cannot report its runs of a partition yet, although
+// it keeps them: the backend server's lists are cut, or the store has not confirmed us.
+func (c *Core) ReportPending(now time.Time, name string, m *wire.ReportPending) {
+	p := c.partitions[m.Partition]
+	if p == nil || p.epoch != m.Epoch || p.awaiting[name] == nil {
+		return
+	}
+	p.awaiting[name].pending = true
+	c.note(Note{What: ReportAwaited, Worker: name, Measure: PartitionNumber, Value: int64(m.Partition), Frequent: true})
+}
+
 // reconcileRun compares a run that a worker reports with the job's state: a run that an earlier
 // owner started is taken over, one that is no longer wanted is stopped.
 func (c *Core) reconcileRun(now time.Time, w *worker, p *partition, ref wire.RunRef) {
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -341,6 +341,25 @@
 		Expect(f.orders(f.core.Take(f.now))).To(HaveLen(2))
 	})
 
+	// Guards against a task that starts beside its run at a worker that could not report it in time.
+	It("waits for a worker that has said that it reports later, until it is lost and its leases have expired", func() {
+		f := newFixture()
+		f.core.WorkerKnown(f.now, "w1")
+		f.owning(map[durable.JobID]*durable.Stored{id: {Submission: job(tasks(1))}})
+		f.worker("w2")
+		f.core.WorkerUp(f.now, "w1", "nadi")
+		f.status("w1", 4000)
+		f.core.ReportPending(f.now, "w1", &wire.ReportPending{Partition: f.partition(), Epoch: epoch})
+		f.core.Take(f.now)
+		f.wait(2*f.cfg.Core("").WriteOff, "w1", "w2")
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.core.WorkerDown(f.now, "w1")
+		f.wait(f.cfg.Core("").WriteOff-100*time.Millisecond, "w2")
+		Expect(f.orders(f.core.Take(f.now))).To(BeEmpty())
+		f.wait(400*time.Millisecond, "w2")
+		Expect(f.orders(f.core.Take(f.now))).To(HaveLen(1))
+	})
+
 	It("takes over running and ended runs", func() {
 		f := newFixture().owning(nil)
 		f.core.WorkerKnown(f.now, "w1")
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -7,7 +7,7 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat Evacuations BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds TaskCrash CrashReport KeepAlive KeepAliveAck RecordedBackend CapacityRequest WaitingGroup WaitingWork JobClaims DeniedClaim JobClaimsReply
+//msgp:tuple PartitionEpoch OwnerHeartbeat Evacuations BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds ReportPending TaskCrash CrashReport KeepAlive KeepAliveAck RecordedBackend CapacityRequest WaitingGroup WaitingWork JobClaims DeniedClaim JobClaimsReply
 //msgp:limit arrays:65536
 
 // PartitionEpoch states that the sender owns a partition, and its fencing epoch.
@@ -230,6 +230,14 @@
 	Ended     []RunEnd // not yet acknowledged by EndsKept
 }
 
+// ReportPending tells the owner of a partition that the sender will send its PartitionRuns later,
+// and that its heartbeats keep runs of the partition alive meanwhile. It is sent in reply to each
+// such heartbeat.
+type ReportPending struct {
+	Partition uint32
+	Epoch     uint64
+}
+
 // CallKind is the operation that a JobCall requests.
 type CallKind uint8
 
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -1512,6 +1512,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ReportPending) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.Partition)
+	o = msgp.AppendUint64(o, z.Epoch)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReportPending) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Partition, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Partition")
+		return
+	}
+	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReportPending) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RunEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -36,6 +36,7 @@
 	KindCapacityRequest Kind = 28
 	KindJobClaims       Kind = 29
 	KindJobClaimsReply  Kind = 30
+	KindReportPending   Kind = 31
 )
 
 // kindInfo holds the name and the constructor of a kind of message.
@@ -76,6 +77,7 @@
 	KindCapacityRequest: {"room_ask", func() Message { return &CapacityRequest{} }},
 	KindJobClaims:       {"job_claims", func() Message { return &JobClaims{} }},
 	KindJobClaimsReply:  {"job_claims_reply", func() Message { return &JobClaimsReply{} }},
+	KindReportPending:   {"report_pending", func() Message { return &ReportPending{} }},
 }
 
 // String returns the kind's name, as used in metric labels.
@@ -203,3 +205,6 @@
 
 // WireKind returns KindJobClaimsReply.
 func (*JobClaimsReply) WireKind() Kind { return KindJobClaimsReply }
+
+// WireKind returns KindReportPending.
+func (*ReportPending) WireKind() Kind { return KindReportPending }
