coordinator: read who is registered before each takeover

The store had left one coordinator without answers for 6 s; a worker was added meanwhile. When the store served that coordinator again it got partitions, and took them over without asking the new worker.

Cause: a worker that is not known was taken for one that runs nothing. A takeover waited for the first reading of the members in the life of the process, and joins are repeated much sooner than readings.

Ruled out: that the worker did not report, or was written off (it was never awaited).

Change: a partition is taken over only after a reading of the members that began after it was assigned. Store.SyncMembers goes on from the last offset and waits for nothing; memberSync shares a reading among all partitions of a join. Later readings are not needed: an earlier owner orders at a worker only once the store has confirmed its ownership after it connected there, so that worker had registered before the partition was assigned anew. fakestore: news of members stops while the store refuses, and a store can be silent to one process or late with members.

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -82,6 +82,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	joinNow  chan struct{} // ends the pause before the next join
+	// memberSync reads who is registered when partitions are taken over.
+	memberSync memberSync
 	// membersRead is closed after the first reading of the registered processes.
 	membersRead chan struct{}
 }
@@ -136,7 +138,7 @@
 }
 
 func newCoordinator(cfg *config.Coordinator, s store.Store, m *metrics.Jobs, log *logging.Log, clk *clock.Clock) *Coordinator {
-	return &Coordinator{
+	c := &Coordinator{
 		cfg:         cfg,
 		clock:       clk,
 		log:         log,
@@ -161,6 +163,8 @@
 		joinNow:     make(chan struct{}, 1),
 		membersRead: make(chan struct{}),
 	}
+	c.memberSync = memberSync{read: c.syncMembers, now: clk.Now}
+	return c
 }
 
 // run starts the goroutines, after c.peers and c.ctx have been set.
--- a/jobs/coordinator/events.go
+++ b/jobs/coordinator/events.go
@@ -50,7 +50,7 @@
 		c.endTerm(now, t, "assigned_to_another")
 	}
 	for _, t := range change.Acquired {
-		c.beginTerm(t)
+		c.beginTerm(now, t)
 	}
 	c.checkLease(now)
 	c.core.Confirmed(now, e.sent)
--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,6 +37,13 @@
 	})
 }
 
+// syncMembers posts the processes that have registered by now.
+func (c *Coordinator) syncMembers() error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.Ownership.CallLimit.D())
+	defer cancel()
+	return c.store.SyncMembers(ctx)
+}
+
 // updateMembers records processes that are new or have changed, connects to new coordinators, and
 // chooses again which workers to connect to.
 func (c *Coordinator) updateMembers(now time.Time, members []store.Member) {
--- a/jobs/coordinator/takeover.go
+++ b/jobs/coordinator/takeover.go
@@ -15,15 +15,24 @@
 // readPause is the pause before a failed reading of a partition is repeated.
 const readPause = 50 * time.Millisecond
 
-// read fences the earlier owners of a partition and reads the jobs that they left. It first waits
-// until the registered workers are known, since they have to be asked for runs of the partition.
-func (c *Coordinator) read(ctx context.Context, id ownership.Term) {
+// read fences the earlier owners of a partition, which was assigned to us at the time given, and reads
+// the jobs that they left.
+//
+// It also reads which workers are registered, after that time: each has to be asked for its runs of
+// the partition. An earlier owner orders at a worker only once the store has confirmed its ownership
+// after it connected to the worker, which it had read of before. So no worker that registers later can
+// have such a run.
+func (c *Coordinator) read(ctx context.Context, assigned time.Time, id ownership.Term) {
 	select {
 	case <-c.membersRead:
 	case <-ctx.Done():
 	}
 	for ctx.Err() == nil {
-		records, err := c.readOnce(ctx, id)
+		var records []durable.Record
+		err := c.memberSync.since(ctx, assigned)
+		if err == nil {
+			records, err = c.readOnce(ctx, id)
+		}
 		if err == nil {
 			c.postResult(id, partitionRead{c.collect(id.Partition, records)})
 			return
--- a/jobs/coordinator/term.go
+++ b/jobs/coordinator/term.go
@@ -20,10 +20,10 @@
 }
 
 // beginTerm starts to read a newly assigned partition in the background.
-func (c *Coordinator) beginTerm(id ownership.Term) {
+func (c *Coordinator) beginTerm(now time.Time, id ownership.Term) {
 	ctx, stop := context.WithCancel(c.ctx)
 	c.terms[id] = &term{stop: stop}
-	go c.read(ctx, id)
+	go c.read(ctx, now, id)
 }
 
 // endTerm ends a term, whether its partition has been read or not.
--- a/jobs/fakestore/store.go
+++ b/jobs/fakestore/store.go
@@ -11,8 +11,9 @@
 	"github.com/lichenfall/lichenfall/jobs/store"
 )
 
-// Store implements store.Store in memory, on the clock of package time, for coordinators and
-// workers in the same process. It is safe for concurrent use.
+// Store is the log service in memory, on the clock of package time, for coordinators and workers in
+// the same process. Each of them reaches it through a Client of its own. It is safe for concurrent
+// use.
 type Store struct {
 	mu            sync.Mutex
 	state         *State
@@ -23,22 +24,21 @@
 	membersHidden bool          // set by HideMembers
 }
 
-var _ store.Store = (*Store)(nil)
-
 // New returns an empty store with the number of partitions given.
 func New(partitions uint32) *Store {
 	return &Store{state: NewState(partitions), changed: make(chan struct{})}
 }
 
 // Refuse makes the store refuse all calls with store.ErrRefused, or accept them again. While it
-// refuses, WatchOperators calls nothing; WatchMembers continues.
+// refuses, WatchOperators and WatchMembers call nothing.
 func (s *Store) Refuse(refuse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refusing = refuse
+	s.notify()
 }
 
-// HideMembers stops the updates of WatchMembers, or resumes them with one of all processes.
+// HideMembers makes the store refuse all readings of the registered processes, or accept them again.
 func (s *Store) HideMembers(hide bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,7 +75,7 @@
 	s.changed = make(chan struct{})
 }
 
-// Join implements store.Store.
+// Join carries out store.Store.Join.
 func (s *Store) Join(_ context.Context, name string, generation uint64, ttl time.Duration) (store.Assignment, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,7 +85,7 @@
 	return s.state.Join(time.Now(), name, generation, ttl), nil
 }
 
-// Leave implements store.Store.
+// Leave carries out store.Store.Leave.
 func (s *Store) Leave(_ context.Context, name string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,7 +96,7 @@
 	return nil
 }
 
-// Fence implements store.Store.
+// Fence carries out store.Store.Fence.
 func (s *Store) Fence(_ context.Context, partition uint32, epoch uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,7 +106,7 @@
 	return s.state.Fence(partition, epoch)
 }
 
-// Append implements store.Store.
+// Append carries out store.Store.Append.
 func (s *Store) Append(_ context.Context, partition uint32, epoch, number uint64, records []durable.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,7 +117,7 @@
 	return err
 }
 
-// NewestRecords implements store.Store.
+// NewestRecords carries out store.Store.NewestRecords.
 func (s *Store) NewestRecords(_ context.Context, partition uint32) ([]durable.Record, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,7 +127,7 @@
 	return s.state.Newest(partition), nil
 }
 
-// Register implements store.Store.
+// Register carries out store.Store.Register.
 func (s *Store) Register(_ context.Context, m store.Member) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,18 +146,18 @@
 	return len(s.state.registered)
 }
 
-// WatchMembers implements store.Store. Each call of f has all registered processes.
-func (s *Store) WatchMembers(ctx context.Context, f func([]store.Member)) {
-	s.watch(ctx, func() func() {
-		if s.membersHidden {
-			return func() {}
-		}
-		members := s.state.Registered()
-		return func() { f(members) }
-	})
+// members returns all registered processes.
+func (s *Store) members() ([]store.Member, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing || s.membersHidden {
+		return nil, store.ErrRefused
+	}
+	return s.state.Registered(), nil
 }
 
-// WatchOperators implements store.Store. It calls f at the start and after each change only.
+// WatchOperators carries out store.Store.WatchOperators, and calls f at the start and after each
+// change only.
 func (s *Store) WatchOperators(ctx context.Context, _ time.Duration, f func(routing.OperatorUpdate)) {
 	s.watch(ctx, func() func() {
 		if s.refusing {
--- a/jobs/local/cluster.go
+++ b/jobs/local/cluster.go
@@ -46,6 +46,7 @@
 	Store        *fakestore.Store
 	Backends     []*fakebackend.Backend
 	Coordinators []*coordinator.Coordinator // nil where StopCoordinator has ended it
+	StoreClients []*fakestore.Client        // of the coordinators
 	Workers      []*worker.Worker
 	URLs         []string // base URLs of the coordinators' HTTP servers
 
@@ -109,7 +110,7 @@
 		cfg.Box.DataCentre = c.opts.DataCentres[i%n]
 	}
 	cfg.Peers.Listen = ports.Any
-	w, err := worker.Start(cfg, c.Backends[i], c.Store, metrics.NewJobs(tally.NoopScope, nil, scheduler.Classes), c.opts.Log)
+	w, err := worker.Start(cfg, c.Backends[i], c.Store.Client(), metrics.NewJobs(tally.NoopScope, nil, scheduler.Classes), c.opts.Log)
 	if err != nil {
 		return nil, err
 	}
@@ -136,11 +137,13 @@
 	if c.opts.Subset != (config.Subset{}) {
 		cfg.Subset = c.opts.Subset
 	}
-	k, err := coordinator.Start(cfg, c.Store, metrics.NewJobs(tally.NoopScope, nil, scheduler.Classes), c.opts.Log)
+	client := c.Store.Client()
+	k, err := coordinator.Start(cfg, client, metrics.NewJobs(tally.NoopScope, nil, scheduler.Classes), c.opts.Log)
 	if err != nil {
 		return err
 	}
 	c.Coordinators = append(c.Coordinators, k)
+	c.StoreClients = append(c.StoreClients, client)
 	listen := ports.Any
 	if i == 0 && c.opts.HTTP != "" {
 		listen = c.opts.HTTP
@@ -185,5 +188,8 @@
 	}
 }
 
+// AddWorker starts one more backend server and its worker, at the next index.
+func (c *Cluster) AddWorker() error { return c.addWorker(len(c.Workers)) }
+
 // AddCoordinator starts one more coordinator, at the next index.
 func (c *Cluster) AddCoordinator() error { return c.addCoordinator(len(c.Coordinators)) }
--- a/jobs/local/cluster_test.go
+++ b/jobs/local/cluster_test.go
@@ -264,7 +264,7 @@
 		members.Store(&[]store.Member{})
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		go s.Store.WatchMembers(ctx, func(all []store.Member) { members.Store(&all) })
+		go s.Store.Client().WatchMembers(ctx, func(all []store.Member) { members.Store(&all) })
 		registered := func() durable.Resources {
 			for _, m := range *members.Load() {
 				if m.Backend != nil && m.Backend.Instance == s.Backends[0].Instance() {
--- a/jobs/store/store.go
+++ b/jobs/store/store.go
@@ -114,6 +114,10 @@
 	// WatchMembers calls f with all registered processes, and then with those that are added or
 	// changed, until ctx ends.
 	WatchMembers(ctx context.Context, f func(changed []Member))
+	// SyncMembers returns once the function that was given to WatchMembers has been called with all
+	// processes that were registered when SyncMembers was called. It fails if WatchMembers was not
+	// called before, or if the store does not answer.
+	SyncMembers(ctx context.Context) error
 	// WatchOperators calls f with the configuration and evacuations that operators have set:
 	// first with all that are in force, then after each read that the store has answered, even
 	// if nothing has changed, until ctx ends. pause is the time between a failed read and the
