runtable: renew nothing that no owner has claimed

Cause: the owner writes runs off 2.92 s after its last heartbeat to the worker; a new process of the worker, which does not know of that heartbeat, adopted them and renewed the backend server's lease by up to 1.25 s for kept jobs, 0.45 s for best-effort ones.

Change: what an earlier process left is not renewed before its owner has claimed it by a heartbeat or a query to this process. That holds for runs, for ends that nobody has stored, and for ends that a list has not shown yet, for which all owners have to be heard.

--- a/jobs/runtable/adopted_test.go
+++ b/jobs/runtable/adopted_test.go
@@ -105,3 +105,55 @@
 		t.Fatal("a task was not started although the run had ended")
 	}
 }
+
+// TestAdoptedRunsAreNotRenewedBeforeTheyAreClaimed guards against tasks that run twice at once: a
+// worker that restarted while it was cut off kept what it found running, beyond the time at which the
+// owner wrote the runs off.
+func TestAdoptedRunsAreNotRenewedBeforeTheyAreClaimed(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		running []runtable.ListedRun
+		ended   []runtable.ListedEnd
+	}{
+		{"a kept run", []runtable.ListedRun{{Ref: ref(9, 1)}}, nil},
+		{"a best-effort run", []runtable.ListedRun{{Ref: ref(9, wire.BestEffortRun+1)}}, nil},
+		{"the end of a kept run", nil, []runtable.ListedEnd{doneEnd(1, ref(9, 1))}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			RegisterTestingT(t)
+			f := newFixture()
+			f.table.Identify(f.now, identity)
+			f.renewLease(nil)
+			f.renewLease(test.running, test.ended...)
+			if call := f.renewLease(test.running, test.ended...); call.Deadline != 0 {
+				t.Fatalf("the lease is extended to %v before an owner has claimed it", call.Deadline)
+			}
+			f.table.OwnerUp(f.now, owner, member)
+			f.advance(50 * time.Millisecond)
+			f.heartbeat(7)
+			f.table.QueryRuns(f.now, owner, &wire.RunsQuery{Runs: []wire.RunRef{ref(9, wire.BestEffortRun+1)}})
+			if call := f.renewLease(test.running, test.ended...); call.Deadline <= f.clock() {
+				t.Fatalf("the lease is not extended after the owner has claimed it: %v", call.Deadline)
+			}
+		})
+	}
+}
+
+// TestHiddenEndsAreNotRenewedBeforeAllOwnersAreHeard guards against done tasks that start again: ends
+// that no list has shown yet may be of any partition, also of one whose owner has written them off.
+func TestHiddenEndsAreNotRenewedBeforeAllOwnersAreHeard(t *testing.T) {
+	RegisterTestingT(t)
+	f := newFixture()
+	f.table.Identify(f.now, identity)
+	f.renewLease(nil)
+	f.renewCut(nil, doneEnd(1, ref(9, 1)))
+	f.table.OwnerUp(f.now, owner, member)
+	f.advance(50 * time.Millisecond)
+	f.heartbeat(7)
+	if call := f.renewLease(nil, doneEnd(1, ref(9, 1))); call.Deadline != 0 {
+		t.Fatalf("the lease is extended to %v while other owners are not heard", call.Deadline)
+	}
+	if call := f.renewLease(nil, doneEnd(1, ref(9, 1))); call.Deadline <= f.clock() {
+		t.Fatal("the lease is not extended after a whole list")
+	}
+}
--- a/jobs/runtable/lapse.go
+++ b/jobs/runtable/lapse.go
@@ -80,8 +80,12 @@
 	}
 }
 
-// hasWorkUnder returns whether there are runs or unstored ends under the lease.
+// hasWorkUnder returns whether there are runs or unstored ends under the lease, or may be some that no
+// list has shown.
 func (t *Table) hasWorkUnder(key leaseKey) bool {
+	if t.synced && !t.complete && key.member == "" {
+		return true
+	}
 	for _, r := range t.runs {
 		if r.heldBy(key) {
 			return true
--- a/jobs/runtable/renew.go
+++ b/jobs/runtable/renew.go
@@ -152,32 +152,42 @@
 func (t *Table) leaseLimit(now time.Time) time.Time {
 	bound := now.Add(t.cfg.BackendLease)
 	for _, r := range t.runs {
-		bound = t.limitByOwner(bound, r.lease)
+		bound = earliest(bound, t.livesUntil(now, r.lease))
 		for _, key := range r.coOwners {
-			bound = t.limitByOwner(bound, key)
+			bound = earliest(bound, t.livesUntil(now, key))
 		}
 	}
 	for _, e := range t.ends {
 		if !e.stored {
-			bound = t.limitByOwner(bound, e.lease)
+			bound = earliest(bound, t.livesUntil(now, e.lease))
 		}
 	}
+	if !t.complete {
+		bound = earliest(bound, t.hiddenLivesUntil(now))
+	}
 	return bound
 }
 
-// limitByOwner returns the bound, or the time until which runs under the lease may live if that
-// is earlier. It is unknown when the owner of an unclaimed run last received a status from this
-// worker, so an unclaimed run only gets the time to be claimed or stopped.
-func (t *Table) limitByOwner(bound time.Time, key leaseKey) time.Time {
+// livesUntil returns the time until which what is under the lease may live. What an earlier process
+// of this worker left, and no owner has claimed yet, may live no longer than that process has seen
+// to: it is unknown when its owner last received a status from this worker, and when it therefore
+// starts the tasks elsewhere.
+func (t *Table) livesUntil(now time.Time, key leaseKey) time.Time {
 	l := t.leases[key]
-	if l == nil {
-		return bound
+	if l == nil || key.member == unclaimed {
+		return now
 	}
-	until := l.expires.Add(t.cfg.StopGrace)
-	if key.member != unclaimed {
-		until = until.Add(t.cfg.BackendLease)
+	return l.expires.Add(t.cfg.StopGrace).Add(t.cfg.BackendLease)
+}
+
+// hiddenLivesUntil returns the same for what a list that was not whole has not shown, which may be of
+// any partition.
+func (t *Table) hiddenLivesUntil(now time.Time) time.Time {
+	bound := now.Add(t.cfg.BackendLease)
+	for p := range t.cfg.Partitions {
+		bound = earliest(bound, t.livesUntil(now, leaseKey{partition: p}))
 	}
-	return earliest(bound, until)
+	return bound
 }
 
 func earliest(a, b time.Time) time.Time {
