coordinator: tie the events of a connection to its link

After a link was replaced, the connection of the former one, which is being closed, could be taken for that of the present one: a worker, coordinator or witness then counted as down although it was connected, until that connection broke for want of messages (5 s at most). Seen in no run; found by reading.

Change: the events carry their link, and those of another one are dropped. A reading of a partition that is ended by its term no longer logs partition_unread.

TestLinkThatWasReplacedChangesNothing fails before for all three roles.

--- a/jobs/coordinator/claims.go
+++ b/jobs/coordinator/claims.go
@@ -56,11 +56,12 @@
 // most witnesses are not among the workers that this coordinator orders runs from.
 func (c *Coordinator) connectWitness(now time.Time, address string) {
 	ctx, stop := context.WithCancel(c.ctx)
-	c.witnesses[address] = &link{role: wire.RoleClaimant, stop: stop, changed: now}
+	l := &link{role: wire.RoleClaimant, stop: stop, changed: now}
+	c.witnesses[address] = l
 	opts := c.peerOpts
 	opts.AckLimit = ackLimit
 	hello := func() *wire.Hello { return c.helloAs(wire.RoleClaimant) }
-	go peer.KeepConnected(ctx, address, opts, hello, toWitness{c, address})
+	go peer.KeepConnected(ctx, address, opts, hello, toWitness{c, address, l})
 }
 
 // performClaims carries out the decisions about claims, and sends what is due to witnesses.
@@ -131,12 +132,13 @@
 // witnessUp reports that the connection to a witness has been made.
 type witnessUp struct {
 	address string
+	link    *link
 	conn    *peer.Conn
 }
 
 func (e witnessUp) apply(c *Coordinator, now time.Time) {
 	l := c.witnesses[e.address]
-	if l == nil {
+	if l != e.link {
 		return
 	}
 	l.conn, l.changed = e.conn, now
@@ -146,12 +148,13 @@
 // witnessDown reports that the connection to a witness is lost.
 type witnessDown struct {
 	address string
+	link    *link
 	conn    *peer.Conn
 }
 
 func (e witnessDown) apply(c *Coordinator, now time.Time) {
 	l := c.witnesses[e.address]
-	if l == nil || l.conn != e.conn {
+	if l != e.link || l.conn != e.conn {
 		return
 	}
 	l.conn, l.changed = nil, now
@@ -175,10 +178,13 @@
 type toWitness struct {
 	c       *Coordinator
 	address string
+	link    *link
 }
 
 // Up posts that the connection has been made.
-func (t toWitness) Up(conn *peer.Conn, _ *wire.Hello) { t.c.loop.Post(witnessUp{t.address, conn}) }
+func (t toWitness) Up(conn *peer.Conn, _ *wire.Hello) {
+	t.c.loop.Post(witnessUp{t.address, t.link, conn})
+}
 
 // Message posts the answer of a witness.
 func (t toWitness) Message(conn *peer.Conn, m wire.Message) {
@@ -188,4 +194,6 @@
 }
 
 // Down posts that the connection is lost.
-func (t toWitness) Down(conn *peer.Conn, _ error) { t.c.loop.Post(witnessDown{t.address, conn}) }
+func (t toWitness) Down(conn *peer.Conn, _ error) {
+	t.c.loop.Post(witnessDown{t.address, t.link, conn})
+}
--- a/jobs/coordinator/links.go
+++ b/jobs/coordinator/links.go
@@ -25,8 +25,9 @@
 // until the link's stop is called.
 func (c *Coordinator) connect(now time.Time, address string, role wire.Role) {
 	ctx, stop := context.WithCancel(c.ctx)
-	c.links[address] = &link{role: role, stop: stop, changed: now}
-	go peer.KeepConnected(ctx, address, c.linkOptions(role), c.hello, outbound{c, address})
+	l := &link{role: role, stop: stop, changed: now}
+	c.links[address] = l
+	go peer.KeepConnected(ctx, address, c.linkOptions(role), c.hello, outbound{c, address, l})
 }
 
 // linkOptions returns the options of connections to processes of the role. Workers need no
@@ -49,16 +50,18 @@
 	}
 }
 
-// linkUp reports that the connection of a link has been made.
+// linkUp reports that the connection of a link has been made. Another link to the address may have
+// taken its place.
 type linkUp struct {
 	address string
+	link    *link
 	conn    *peer.Conn
 	hello   *wire.Hello
 }
 
 func (e linkUp) apply(c *Coordinator, now time.Time) {
 	l := c.links[e.address]
-	if l == nil {
+	if l != e.link {
 		return
 	}
 	l.conn = e.conn
@@ -88,13 +91,14 @@
 // linkDown reports that the connection of a link is lost.
 type linkDown struct {
 	address string
+	link    *link
 	conn    *peer.Conn
 	err     error
 }
 
 func (e linkDown) apply(c *Coordinator, now time.Time) {
 	l := c.links[e.address]
-	if l == nil || (l.conn != nil && l.conn != e.conn) {
+	if l != e.link || (l.conn != nil && l.conn != e.conn) {
 		return
 	}
 	l.conn = nil
@@ -148,10 +152,13 @@
 type outbound struct {
 	c       *Coordinator
 	address string
+	link    *link
 }
 
 // Up posts that the connection has been made.
-func (o outbound) Up(conn *peer.Conn, h *wire.Hello) { o.c.loop.Post(linkUp{o.address, conn, h}) }
+func (o outbound) Up(conn *peer.Conn, h *wire.Hello) {
+	o.c.loop.Post(linkUp{o.address, o.link, conn, h})
+}
 
 // Message posts a message.
 func (o outbound) Message(conn *peer.Conn, m wire.Message) {
@@ -159,4 +166,6 @@
 }
 
 // Down posts that the connection is lost.
-func (o outbound) Down(conn *peer.Conn, err error) { o.c.loop.Post(linkDown{o.address, conn, err}) }
+func (o outbound) Down(conn *peer.Conn, err error) {
+	o.c.loop.Post(linkDown{o.address, o.link, conn, err})
+}
--- a/jobs/coordinator/takeover.go
+++ b/jobs/coordinator/takeover.go
@@ -37,6 +37,9 @@
 			c.postResult(id, partitionRead{c.collect(id.Partition, records)})
 			return
 		}
+		if ctx.Err() != nil {
+			return // the term is over
+		}
 		c.log.Warn("partition_unread", zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch), zap.Error(err))
 		if err == store.ErrFenced {
 			c.postResult(id, partitionLost{})
