runtable: end runs that are over in one place

What callers could see: a task that had ended was counted as begun in a crash of its backend server, when the server fell silent until its lease was over and another incarnation appeared. Two such counts too many make a job wait or fail.

Cause: a run that is over, with its end not listed yet, was treated in endCrashed alone. endSilent remembered it as a possible crash, and takeInherited could pass it on to the next incarnation.

Change: endUnlisted ends such runs before any of the three; suspect leaves them out by itself. The time of a straggler is counted until it was over too. Whether an owner has been sent the ends is asked by one method, where two places had the same condition.

The new spec fails before (ends Lapsed, then Crashed, in place of Lost).

--- a/jobs/runtable/crash.go
+++ b/jobs/runtable/crash.go
@@ -37,10 +37,6 @@
 			t.reportEarlierEnd(now, r)
 			continue
 		}
-		if r.over() {
-			t.endRun(now, r, wire.EndLost, reasonUnlisted)
-			continue
-		}
 		e := t.crashedEnd(now, r, suspects, reason)
 		if suspected {
 			t.suspectCrash(now, r.lease, &e)
@@ -71,16 +67,16 @@
 func (t *Table) suspects() int {
 	n := 0
 	for _, r := range t.runs {
-		if r.suspect() && !r.over() {
+		if r.suspect() {
 			n++
 		}
 	}
 	return n
 }
 
-// suspect returns whether the run's task has been in a crash of a backend server before. That is
-// not known of a run that an earlier process ordered, which therefore counts too.
-func (r *run) suspect() bool { return r.order.Crashes > 0 || r.needUnknown }
+// suspect returns whether the run goes on and its task has been in a crash of a backend server
+// before. That is not known of a run that an earlier process ordered, which therefore counts too.
+func (r *run) suspect() bool { return !r.over() && (r.order.Crashes > 0 || r.needUnknown) }
 
 // rememberCrashed keeps the end for owners that cannot be reached now.
 func (t *Table) rememberCrashed(now time.Time, lease leaseKey, e wire.RunEnd) {
@@ -95,6 +91,7 @@
 // have crashed together with its box, and then announces nothing. Only the next incarnation at
 // the address shows that, so the runs are remembered until then.
 func (t *Table) endSilent(now time.Time) {
+	t.endUnlisted(now)
 	suspects := t.suspects()
 	for _, ref := range t.sortedRefs() {
 		r := t.runs[ref]
--- a/jobs/runtable/cutlists_test.go
+++ b/jobs/runtable/cutlists_test.go
@@ -137,6 +137,18 @@
 		)))
 	})
 
+	// Guards against a task that is blamed for a crash that came after its run had ended.
+	It("end with a backend server that fell silent: of a run that was over, nothing says that it crashed it", func() {
+		f := newFixture().ready()
+		f.startRun(ref(0, 1))
+		f.renewCut(nil, doneEnd(1, ref(9, 1)))
+		f.take()
+		f.advance(f.cfg.SilentAfter.D() + time.Millisecond)
+		f.advance(2 * f.cfg.BackendLease.D())
+		f.table.Identify(f.now, runtable.Identity{Instance: "i-2", Service: "s", Ready: true, Capacity: durable.Resources{CPU: 4000, Memory: 1000}})
+		Expect(ends(f.take())).To(ConsistOf(And(HaveField("Ref", ref(0, 1)), HaveField("How", uint8(wire.EndLost)))))
+	})
+
 	It("end with the backend server: of a run that was over, nothing says that it crashed it", func() {
 		f := newFixture().ready()
 		f.startRun(ref(0, 1))
--- a/jobs/runtable/ends.go
+++ b/jobs/runtable/ends.go
@@ -55,7 +55,7 @@
 // reportListedEnd reports the end to the owner of the lease, provided that the owner has been
 // sent what came before.
 func (t *Table) reportListedEnd(key leaseKey, e *end) {
-	if l := t.leases[key]; l != nil && (l.reported || l.endsReported) {
+	if l := t.leases[key]; l != nil && l.knowsEnds() {
 		t.sendEnd(l.conn, e.report)
 	}
 }
@@ -151,7 +151,7 @@
 // what is known under it.
 func (t *Table) reportedTo(key leaseKey, conn string) bool {
 	l := t.leases[key]
-	return l != nil && l.conn == conn && (l.reported || l.endsReported)
+	return l != nil && l.conn == conn && l.knowsEnds()
 }
 
 // acknowledgeStored drops the stored ends up to the first that is not stored, since the backend
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -90,6 +90,7 @@
 // the lease is over. In the second case it has perhaps not crashed.
 func (t *Table) endIncarnation(now time.Time, reason string) {
 	t.noteBackendLost(reason)
+	t.endUnlisted(now)
 	switch {
 	case t.leaving():
 		t.endAll(now, wire.EndLost, reason)
--- a/jobs/runtable/inherited.go
+++ b/jobs/runtable/inherited.go
@@ -25,6 +25,7 @@
 
 // endIncarnationExcept ends all runs except those that the next incarnation may have.
 func (t *Table) endIncarnationExcept(now time.Time, reason string, mayHave func(r *run) bool) {
+	t.endUnlisted(now)
 	inherited := t.takeInherited(now, reason, mayHave)
 	t.endIncarnation(now, reason)
 	for ref, r := range inherited {
--- a/jobs/runtable/leases.go
+++ b/jobs/runtable/leases.go
@@ -39,6 +39,9 @@
 	stoppedAt time.Time
 }
 
+// knowsEnds returns whether the owner has been sent all ends under the lease that are known.
+func (l *ownerLease) knowsEnds() bool { return l.reported || l.endsReported }
+
 // leaseOf returns the key of the lease under which an order runs.
 func (t *Table) leaseOf(o *owner, order *wire.RunOrder) leaseKey {
 	if order.BestEffort {
--- a/jobs/runtable/lists.go
+++ b/jobs/runtable/lists.go
@@ -91,3 +91,12 @@
 		t.announceFreed()
 	}
 }
+
+// endUnlisted ends the runs that are over, when their ends will not be listed any more. They have
+// neither crashed the backend server nor can the next incarnation have them.
+func (t *Table) endUnlisted(now time.Time) {
+	for _, ref := range t.refsWhere((*run).over) {
+		t.endRun(now, t.runs[ref], wire.EndLost, reasonUnlisted)
+		delete(t.runs, ref)
+	}
+}
--- a/jobs/runtable/progress.go
+++ b/jobs/runtable/progress.go
@@ -60,7 +60,7 @@
 // expected returns the duration of the run from start to end: at its present pace, or its
 // duration so far if that is longer or no pace is known.
 func (r *run) expected(now time.Time) time.Duration {
-	return max(now.Sub(r.started), r.progress.expected)
+	return max(r.lasted(now), r.progress.expected)
 }
 
 // remaining returns how much longer the run takes at its present pace. A run that has exceeded
