coordinator: one goroutine and one look-up for a term

A term had two contexts and a channel that came into being half way, since its reading and its appends were two goroutines. One goroutine reads and then appends, so that the channel is always there and releasing a term is the same in both phases. The look-up of a term with its log line stood twice, for results and for commits; both call lasting now (term_over has what was dropped under "dropped"). Whether an answer to a join is late was decided in ownership and again in the coordinator: the table says so (Change.Late), and jobs/promises obeys it too. A comment said that callers know that nothing was appended; they are told that the outcome is not known.

One check is added to "are not changed by the late answer to an earlier join"; none is changed.

--- a/jobs/coordinator/events.go
+++ b/jobs/coordinator/events.go
@@ -38,11 +38,11 @@
 		return
 	}
 	before := c.owned.Generation()
-	if e.assignment.Generation < before {
+	change := c.owned.Joined(e.sent, now, e.assignment)
+	if change.Late {
 		c.log.Warn("join_answered_late", zap.Uint64("generation", e.assignment.Generation), zap.Uint64("present", before))
 		return
 	}
-	change := c.owned.Joined(e.sent, now, e.assignment)
 	if before != e.assignment.Generation {
 		c.log.Info("generation_heard", zap.Uint64("generation", e.assignment.Generation), zap.Uint32s("partitions", e.assignment.Partitions))
 	}
--- a/jobs/coordinator/takeover.go
+++ b/jobs/coordinator/takeover.go
@@ -15,14 +15,14 @@
 // readPause is the pause before a failed reading of a partition is repeated.
 const readPause = 50 * time.Millisecond
 
-// read fences the earlier owners of a partition, which was assigned to us at the time given, and reads
-// the jobs that they left.
+// read fences the earlier owners of a partition, which was assigned to us at the time given, and posts
+// the jobs that they left. It returns whether it has; otherwise the term is over.
 //
 // It also reads which workers are registered, after that time: each has to be asked for its runs of
 // the partition. An earlier owner orders at a worker only once the store has confirmed its ownership
 // after it connected to the worker, which it had read of before. So no worker that registers later can
 // have such a run.
-func (c *Coordinator) read(ctx context.Context, assigned time.Time, id ownership.Term) {
+func (c *Coordinator) read(ctx context.Context, assigned time.Time, id ownership.Term) bool {
 	select {
 	case <-c.membersRead:
 	case <-ctx.Done():
@@ -35,18 +35,19 @@
 		}
 		if err == nil {
 			c.postResult(id, partitionRead{c.collect(id.Partition, records)})
-			return
+			return true
 		}
 		if ctx.Err() != nil {
-			return // the term is over
+			return false
 		}
 		c.log.Warn("partition_unread", zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch), zap.Error(err))
 		if err == store.ErrFenced {
 			c.postResult(id, partitionLost{})
-			return
+			return false
 		}
 		loop.Sleep(ctx, readPause)
 	}
+	return false
 }
 
 // readOnce fences and reads the partition once.
--- a/jobs/coordinator/term.go
+++ b/jobs/coordinator/term.go
@@ -12,18 +12,23 @@
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 )
 
-// term is what a term of ours has in progress: the reading of the partition at first, then the
-// appends to it.
+// term is what a term of ours has in progress: a goroutine that reads the partition and then appends
+// commits to it.
 type term struct {
-	stop    context.CancelFunc    // ends both
-	commits chan scheduler.Commit // to the goroutine that appends; nil while the partition is read
+	stop    context.CancelFunc    // ends the goroutine
+	commits chan scheduler.Commit // to it
 }
 
-// beginTerm starts to read a newly assigned partition in the background.
+// beginTerm starts the goroutine of a newly assigned partition.
 func (c *Coordinator) beginTerm(now time.Time, id ownership.Term) {
 	ctx, stop := context.WithCancel(c.ctx)
-	c.terms[id] = &term{stop: stop}
-	go c.read(ctx, now, id)
+	t := &term{stop: stop, commits: make(chan scheduler.Commit, 1)}
+	c.terms[id] = t
+	go func() {
+		if c.read(ctx, now, id) {
+			c.write(ctx, id, t.commits)
+		}
+	}()
 }
 
 // endTerm ends a term, whether its partition has been read or not.
@@ -34,9 +39,7 @@
 	}
 	delete(c.terms, id)
 	t.stop()
-	if t.commits != nil {
-		c.core.Release(now, id.Partition, reason)
-	}
+	c.core.Release(now, id.Partition, reason)
 }
 
 // loseTerm ends a term since the store knows a newer owner of the partition.
@@ -46,10 +49,10 @@
 	c.requestJoin()
 }
 
-// termEvent is the result of what a goroutine of a term has done. It is no event by itself: it
+// termEvent is the result of what the goroutine of a term has done. It is no event by itself: it
 // reaches the control goroutine only through postResult, and is applied only while the term lasts.
 type termEvent interface {
-	applyTo(c *Coordinator, now time.Time, id ownership.Term, t *term)
+	applyTo(c *Coordinator, now time.Time, id ownership.Term)
 }
 
 // termResult is the event that carries a termEvent.
@@ -65,27 +68,31 @@
 // apply drops the result if the term has ended: another owner may have changed the partition since,
 // and a later term of ours has readings and appends of its own.
 func (e termResult) apply(c *Coordinator, now time.Time) {
-	t := c.terms[e.id]
-	if t == nil {
-		c.metrics.Decision(termOver)
-		c.log.Info(termOver, zap.Uint32("partition", e.id.Partition), zap.Uint64("epoch", e.id.Epoch),
-			zap.Uint64("generation", c.owned.Generation()), zap.String("result", fmt.Sprintf("%T", e.result)))
-		return
+	if c.lasting(e.id, fmt.Sprintf("%T", e.result)) != nil {
+		e.result.applyTo(c, now, e.id)
 	}
-	e.result.applyTo(c, now, e.id, t)
 }
 
-// termOver is the log message and metric label of a result that was dropped since its term had ended.
+// termOver is the log message and metric label of what was dropped since its term had ended.
 const termOver = "term_over"
 
+// lasting returns the term, or nil if it has ended; what is therefore dropped is logged.
+func (c *Coordinator) lasting(id ownership.Term, what string) *term {
+	t := c.terms[id]
+	if t == nil {
+		c.metrics.Decision(termOver)
+		c.log.Info(termOver, zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch),
+			zap.Uint64("generation", c.owned.Generation()), zap.String("dropped", what))
+	}
+	return t
+}
+
 // partitionRead holds the jobs of a partition as they were read from the store.
 type partitionRead struct {
 	stored map[durable.JobID]*durable.Stored
 }
 
-func (e partitionRead) applyTo(c *Coordinator, now time.Time, id ownership.Term, t *term) {
-	t.stop()
-	c.startAppending(id, t)
+func (e partitionRead) applyTo(c *Coordinator, now time.Time, id ownership.Term) {
 	c.core.Acquire(now, id.Partition, id.Epoch, e.stored)
 	c.core.Suspend(now, id.Partition, !c.owned.Valid(now))
 	c.log.Info("partition_owned", zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch), zap.Int("jobs", len(e.stored)))
@@ -95,30 +102,25 @@
 // partitionLost reports that the store has refused the term's fence.
 type partitionLost struct{}
 
-func (partitionLost) applyTo(c *Coordinator, now time.Time, id ownership.Term, _ *term) {
+func (partitionLost) applyTo(c *Coordinator, now time.Time, id ownership.Term) {
 	c.loseTerm(now, id)
 }
 
 // committed is the result of a commit.
 type committed struct{ result scheduler.CommitResult }
 
-func (e committed) applyTo(c *Coordinator, now time.Time, id ownership.Term, _ *term) {
+func (e committed) applyTo(c *Coordinator, now time.Time, id ownership.Term) {
 	c.core.Committed(now, id.Partition, id.Epoch, e.result)
 	if e.result == scheduler.CommitFenced || e.result == scheduler.CommitLost {
 		c.loseTerm(now, id)
 	}
 }
 
-// append passes a commit of the core to the goroutine that appends. The core may have decided on it
-// just before its term ended; then nothing is appended, as the callers have been told.
+// append passes a commit of the core to the goroutine of its term. If that has ended since the core
+// decided on the commit, nothing is appended: the core has told the callers that their outcome is not
+// known.
 func (c *Coordinator) append(commit scheduler.Commit) {
-	id := ownership.Term{Partition: commit.Partition, Epoch: commit.Epoch}
-	t := c.terms[id]
-	if t == nil {
-		c.metrics.Decision(termOver)
-		c.log.Info(termOver, zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch),
-			zap.Uint64("generation", c.owned.Generation()), zap.Int("records_dropped", len(commit.Records)))
-		return
+	if t := c.lasting(ownership.Term{Partition: commit.Partition, Epoch: commit.Epoch}, "commit"); t != nil {
+		t.commits <- commit
 	}
-	t.commits <- commit
 }
--- a/jobs/coordinator/writer.go
+++ b/jobs/coordinator/writer.go
@@ -13,15 +13,7 @@
 	"github.com/lichenfall/lichenfall/lib/loop"
 )
 
-// startAppending starts the goroutine that appends the commits of a term to the store, one at a time.
-func (c *Coordinator) startAppending(id ownership.Term, t *term) {
-	ctx, stop := context.WithCancel(c.ctx)
-	t.stop = stop
-	t.commits = make(chan scheduler.Commit, 1)
-	go c.write(ctx, id, t.commits)
-}
-
-// write appends commits and posts their results until ctx ends.
+// write appends the commits of a term, one at a time, and posts their results until ctx ends.
 func (c *Coordinator) write(ctx context.Context, id ownership.Term, commits <-chan scheduler.Commit) {
 	a := &appender{store: c.store, limit: c.cfg.Ownership.AppendLimit.D(), appending: store.NewAppendTracker(), log: c.log}
 	for {
--- a/jobs/ownership/ownership.go
+++ b/jobs/ownership/ownership.go
@@ -25,6 +25,8 @@
 type Change struct {
 	Acquired []Term
 	Released []Term
+	// Late says that the answer is of an earlier generation than the last one, and changes nothing.
+	Late bool
 }
 
 // Table tracks the terms of one member of the group of owners. At most one of a partition lasts.
@@ -60,11 +62,10 @@
 }
 
 // Joined applies the answer to a join, and returns what it changes. The lease counts from sent,
-// when the join was sent: the store starts it on arrival of the call, which is not earlier. An
-// answer of an earlier generation than the last one is late, and changes nothing.
+// when the join was sent: the store starts it on arrival of the call, which is not earlier.
 func (t *Table) Joined(sent, now time.Time, a store.Assignment) Change {
 	if a.Generation < t.generation {
-		return Change{}
+		return Change{Late: true}
 	}
 	var c Change
 	// Another member may have owned our partitions in between: the assignment changed while our
--- a/jobs/ownership/ownership_test.go
+++ b/jobs/ownership/ownership_test.go
@@ -85,6 +85,7 @@
 	It("are not changed by the late answer to an earlier join", func() {
 		join(0, 0, 5, 1)
 		c := join(100*time.Millisecond, 100*time.Millisecond, 4, 2)
+		Expect(c.Late).To(BeTrue())
 		Expect(c.Acquired).To(BeEmpty())
 		Expect(c.Released).To(BeEmpty())
 		Expect(table.Generation()).To(Equal(uint64(5)))
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -113,6 +113,9 @@
 
 func (n *coordinatorNode) joined(sent time.Time, a store.Assignment) {
 	change := n.owned.Joined(sent, n.now(), a)
+	if change.Late {
+		return
+	}
 	for _, term := range change.Released {
 		n.release(term.Partition)
 	}
