stand-ins, tests: keep one copy of what the change wrote twice

How many ends are listed at once stood in two stand-ins: one constant. The end of a case of jobs/promises (end the faults, wait, ask for final states) stood five times: finishCase. Two tests of the coordinator made the same submission. fakestore.Client took its lock twice for a call, and two page comments named Store where Client is meant.

--- a/jobs/coordinator/stall_test.go
+++ b/jobs/coordinator/stall_test.go
@@ -43,8 +43,8 @@
 
 // submit makes a call that is read and handled now, and returns whether the core holds its job.
 func (c *stallCase) submit(id durable.JobID) bool {
-	s := &durable.Submission{ID: id, BestEffort: true, Steps: []durable.Step{{Count: 1, EstimateMS: 500}}}
-	s.Queue = durable.Queue{Name: "q", Service: "s", Stretch: 10, TargetMS: 10000, MaxAttempts: 1}
+	s := keptJob(id)
+	s.BestEffort = true
 	cl := &call{kind: wire.CallSubmit, id: id, submission: s, since: c.now}
 	cl.answer = make(chan scheduler.Reply, 1)
 	c.handleCall(c.now, cl)
--- a/jobs/fakebackend/backend.go
+++ b/jobs/fakebackend/backend.go
@@ -63,6 +63,9 @@
 	AckedAt   time.Time // when the worker acknowledged its end; zero before, and if the lease expired in between
 }
 
+// OngoingAt returns whether the run had not ended at the time given.
+func (r *Run) OngoingAt(at time.Time) bool { return r.Ended.IsZero() || r.Ended.After(at) }
+
 // Journal returns all runs that were ever started, in the order of their starts.
 func (b *Backend) Journal() []Run {
 	b.mu.Lock()
@@ -74,8 +77,8 @@
 // renewPollInterval is the pause between two checks for new ends while a renewal waits.
 const renewPollInterval = 2 * time.Millisecond
 
-// defaultListedEnds is how many ends the users' backend servers list at once.
-const defaultListedEnds = 500
+// DefaultListedEnds is how many ends the users' backend servers list at once.
+const DefaultListedEnds = 500
 
 // New returns an idle backend server whose runs take the time given.
 func New(service string, capacity durable.Resources, taskTime time.Duration) *Backend {
@@ -83,7 +86,7 @@
 		Capacity:   capacity,
 		Service:    service,
 		TaskTime:   taskTime,
-		ListedEnds: defaultListedEnds,
+		ListedEnds: DefaultListedEnds,
 		instance:   uuid.NewString(),
 		born:       time.Now().Add(-time.Second),
 		running:    make(map[wire.RunRef]activeRun),
--- a/jobs/fakestore/client.go
+++ b/jobs/fakestore/client.go
@@ -39,7 +39,7 @@
 	silent bool           // set by Silence
 	late   bool           // set by DelayMembers
 
-	feed sync.Mutex           // held while watch is called
+	feed sync.Mutex           // held while f is called
 	f    func([]store.Member) // of WatchMembers; nil before
 }
 
@@ -110,28 +110,23 @@
 	c.notify()
 }
 
-func (c *Client) isSilent() bool {
+// state returns whether the store is silent to the process, and whether its news of members is late.
+func (c *Client) state() (silent, late bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.silent
-}
-
-func (c *Client) membersLate() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.silent || c.late
+	return c.silent, c.late
 }
 
 // do carries out a call, which is held up if a Hold of its kind is in force.
 func (c *Client) do(ctx context.Context, kind Call, call func() error) error {
-	if c.isSilent() {
-		<-ctx.Done()
-		return errNoAnswer
-	}
 	c.mu.Lock()
-	h := c.holds[kind]
+	silent, h := c.silent, c.holds[kind]
 	c.mu.Unlock()
-	if h == nil {
+	switch {
+	case silent:
+		<-ctx.Done()
+		return errNoAnswer
+	case h == nil:
 		return call()
 	}
 	h.begun.Add(1)
@@ -187,7 +182,7 @@
 	c.feed.Unlock()
 	c.watch(ctx, func() func() {
 		return func() {
-			if c.membersLate() {
+			if silent, late := c.state(); silent || late {
 				return
 			}
 			_ = c.deliverMembers() // a refusal ends with news for all watches
@@ -217,7 +212,7 @@
 // WatchOperators implements store.Store. It calls f at the start and after each change only.
 func (c *Client) WatchOperators(ctx context.Context, pause time.Duration, f func(routing.OperatorUpdate)) {
 	c.Store.WatchOperators(ctx, pause, func(u routing.OperatorUpdate) {
-		if !c.isSilent() {
+		if silent, _ := c.state(); !silent {
 			f(u)
 		}
 	})
--- a/jobs/fakestore/state.go
+++ b/jobs/fakestore/state.go
@@ -1,9 +1,10 @@
 // Package fakestore is a stand-in for the log service that stores the state of
 // lichenfall: partitions with fenced and numbered appends that keep the newest record of
 // each key, and a group among whose members the partitions are divided. State is the
-// service itself, without clock and I/O; Store adds the clock and implements store.Store.
+// service itself, without clock and I/O; Store adds the clock.
 // Tests can make it refuse calls, hide the registered processes and revoke partitions. A
-// Client is the Store as one process reaches it, with calls and answers that arrive late.
+// Client is the Store as one process reaches it, with calls and answers that arrive late, and
+// implements store.Store.
 package fakestore
 
 import (
--- a/jobs/local/newworker_test.go
+++ b/jobs/local/newworker_test.go
@@ -33,10 +33,7 @@
 	return out
 }
 
-func overlap(a, b *fakebackend.Run) bool {
-	endsAfter := func(r, other *fakebackend.Run) bool { return r.Ended.IsZero() || r.Ended.After(other.Began) }
-	return endsAfter(a, b) && endsAfter(b, a)
-}
+func overlap(a, b *fakebackend.Run) bool { return a.OngoingAt(b.Began) && b.OngoingAt(a.Began) }
 
 // partitions returns how many partitions a coordinator owns.
 func (s jobSystem) partitions(at int) func() int {
--- a/jobs/local/resent_test.go
+++ b/jobs/local/resent_test.go
@@ -84,7 +84,7 @@
 		n := 0
 		for _, other := range all {
 			began := other.Ref.Task == r.Ref.Task && !other.Began.After(r.Began)
-			if began && (other.Ended.IsZero() || other.Ended.After(r.Began)) {
+			if began && other.OngoingAt(r.Began) {
 				n++
 			}
 		}
--- a/jobs/promises/random_test.go
+++ b/jobs/promises/random_test.go
@@ -67,9 +67,7 @@
 			w.after(warmUp+w.between(0, faultPhase), j.send)
 		}
 		w.run(warmUp + faultPhase)
-		w.endFaults()
-		w.run(recoveryPhase)
-		w.awaitFinal()
+		w.finishCase()
 		if w.violation != "" {
 			t.Fatalf("seed %d: %s", seed+i, w.violation)
 		}
@@ -126,9 +124,7 @@
 		})
 	}
 	w.run(warmUp + faultPhase)
-	w.endFaults()
-	w.run(recoveryPhase)
-	w.awaitFinal()
+	w.finishCase()
 }
 
 // fault injects one fault of the first kinds.
@@ -339,6 +335,13 @@
 	}
 }
 
+// finishCase ends all faults. Some time later every accepted durable job must be in a final state.
+func (w *world) finishCase() {
+	w.endFaults()
+	w.run(recoveryPhase)
+	w.awaitFinal()
+}
+
 // endFaults ends all faults and starts the processes that are dead.
 func (w *world) endFaults() {
 	w.storeDown = false
--- a/jobs/promises/restartbehindcut_test.go
+++ b/jobs/promises/restartbehindcut_test.go
@@ -29,9 +29,7 @@
 			w.after(warmUp+w.between(500*time.Millisecond, spell), w.restartWorkerBehindACut)
 		}
 		w.run(warmUp + spell)
-		w.endFaults()
-		w.run(recoveryPhase)
-		w.awaitFinal()
+		w.finishCase()
 		if w.violation != "" {
 			t.Errorf("seed %d: %s", seed+i, w.violation)
 		}
--- a/jobs/promises/revoked_test.go
+++ b/jobs/promises/revoked_test.go
@@ -84,9 +84,7 @@
 			w.restartOutOfReach(i, old, w.between(100*time.Millisecond, time.Second))
 		}
 		w.run(1500 * time.Millisecond)
-		w.endFaults()
-		w.run(recoveryPhase)
-		w.awaitFinal()
+		w.finishCase()
 		if w.violation != "" {
 			t.Fatalf("seed %d: %s", seed, w.violation)
 		}
--- a/jobs/promises/revokedcut_test.go
+++ b/jobs/promises/revokedcut_test.go
@@ -35,9 +35,7 @@
 			w.after(w.between(2*time.Second, 2700*time.Millisecond), func() { w.killWorker(k, 3*time.Second) })
 		}
 		w.run(6 * time.Second)
-		w.endFaults()
-		w.run(recoveryPhase)
-		w.awaitFinal()
+		w.finishCase()
 		if w.violation != "" {
 			t.Errorf("seed %d: %s", seed+i, w.violation)
 		}
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/jobs/durable"
+	"github.com/lichenfall/lichenfall/jobs/fakebackend"
 	"github.com/lichenfall/lichenfall/jobs/fakestore"
 )
 
@@ -97,9 +98,6 @@
 	return e
 }
 
-// platformListedEnds is how many ends the users' backend servers list at once.
-const platformListedEnds = 500
-
 const (
 	coordinatorCount = 3
 	workerCount      = 4
@@ -127,7 +125,7 @@
 		runs:       &runs,
 		dedup:      config.DefaultDedup(),
 		counts:     make(map[string]int),
-		listedEnds: platformListedEnds,
+		listedEnds: fakebackend.DefaultListedEnds,
 		operators:  operators{offset: 1, evacuated: make(map[string]time.Time)},
 	}
 	set(w)
