--- a/review/harness-2/main_test.go
+++ b/review/harness-2/main_test.go
@@ -35,6 +35,7 @@
 	"transit": playTransit,
 	"stray":   playStray,
 	"pending": playPending,
+	"revoked": playRevoked,
 	"subset":  playSubset,
 }
 
--- a/review/harness-2/system_test.go
+++ b/review/harness-2/system_test.go
@@ -53,6 +53,9 @@
 	version      int
 	routes       []map[string]any
 	rec          *record
+	guarded      bool    // machines have doors, and coordinators gates
+	doors        []*door // by machine, in the order in which they were added
+	gates        []*gate // by coordinator
 	holdMax      time.Duration
 }
 
@@ -164,9 +167,34 @@
 		return nil, err
 	}
 	text := fill(string(template), s.fields(m))
+	if s.guarded {
+		if text, err = s.guard(m, text); err != nil {
+			return nil, err
+		}
+	}
 	return m, os.WriteFile(m.settings(), []byte(text), 0o600)
 }
 
+// guard puts a door in front of the machine's peers' address, and a gate before the store if it is a
+// coordinator. It returns the settings with their addresses.
+func (s *system) guard(m *machine, text string) (string, error) {
+	d, err := newDoor(fmt.Sprintf("%s:%d", s.host(), firstPort), fmt.Sprintf("%s:%d", m.ip, firstPort))
+	if err != nil {
+		return "", err
+	}
+	s.doors = append(s.doors, d)
+	text = strings.Replace(text, `"peers": {`, `"peers": {"advertise": `+quote(d.address)+`, `, 1)
+	if m.role != "coordinator" {
+		return text, nil
+	}
+	g, err := newGate(fmt.Sprintf("%s:%d", s.host(), storePort), s.store)
+	if err != nil {
+		return "", err
+	}
+	s.gates = append(s.gates, g)
+	return strings.ReplaceAll(text, s.storeAddress, g.address), nil
+}
+
 func (m *machine) settings() string { return filepath.Join(m.dir, m.name+".hujson") }
 
 // start starts the process with the command of the deploy file.
