--- a/review/harness-2/others_test.go
+++ b/review/harness-2/others_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 
 const (
 	cancelSteps = 8
+	cancelJobs  = 4               // of which one is cancelled: the share of give_up at tabua-lost
 	cancelBound = 3 * time.Second // cancel_ms
 )
 
@@ -52,13 +54,19 @@
 		}
 		body.Steps = append(body.Steps, st)
 	}
-	j := newJob(body)
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		status, text := s.call(context.Background(), s.coordinators[0], http.MethodPost, j.id, j.body, 20*time.Second)
-		s.rec.add("POST %s: %d %s", j.id, status, text)
-	}()
+	jobs := make([]*job, cancelJobs)
+	var answered sync.WaitGroup
+	for i := range jobs {
+		j := newJob(body)
+		jobs[i] = j
+		answered.Add(1)
+		go func() {
+			defer answered.Done()
+			status, text := s.call(context.Background(), s.coordinators[0], http.MethodPost, j.id, j.body, 20*time.Second)
+			s.rec.add("POST %s: %d %s", j.id, status, text)
+		}()
+	}
+	j := jobs[0]
 	time.Sleep(1500 * time.Millisecond)
 	if trouble {
 		status, text := s.call(context.Background(), s.coordinators[0], http.MethodDelete, j.id, nil, 3*time.Second)
@@ -67,7 +75,7 @@
 			j.cancelled = time.Now()
 		}
 	}
-	<-answered
+	answered.Wait()
 	for _, r := range s.runs() {
 		if !j.cancelled.IsZero() && r.job() == j.id && r.began.Sub(j.cancelled) > cancelBound {
 			broken = append(broken, fmt.Sprintf("task %s starts %.3f s after the cancelling of its job was acknowledged", r.task, r.began.Sub(j.cancelled).Seconds()))
--- a/review/harness-2/revoked_test.go
+++ b/review/harness-2/revoked_test.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	revokedWorkers = 3
+	revokedWorkers = 3 // that the jobs need
+	revokedOthers  = 2 // with executors of another kind
 	revokedJobs    = 36
 	revokedTask    = 5000                    // ms of one task
 	revokedCut     = time.Second             // from the cut until jobs are handed in
@@ -28,6 +29,11 @@
 			return nil, err
 		}
 	}
+	for range revokedOthers {
+		if err := s.addWorker(smallCapacity, "b", "r1"); err != nil {
+			return nil, err
+		}
+	}
 	for range 2 {
 		if err := s.addCoordinator(); err != nil {
 			return nil, err
@@ -45,7 +51,7 @@
 			time.Sleep(revokedCut)
 		}
 		for range revokedJobs {
-			s.submit(newJob(jobBody{Spec: fmt.Sprintf("cpu=1000 ms=%d", revokedTask), Steps: []step{{Count: 1, CPU: 1000, Memory: 64, EstimateMS: revokedTask}}}), 5*time.Second)
+			s.submit(newJob(jobBody{Spec: fmt.Sprintf("cpu=1000 ms=%d", revokedTask), Steps: []step{{Count: 1, CPU: 1000, Memory: 64, EstimateMS: revokedTask, Requires: "a"}}}), 5*time.Second)
 		}
 		time.Sleep(200 * time.Millisecond)
 		if trouble {
