coordinator: end earlier terms before unreachable workers are written off

Cause: the new owner counted the write-off of a worker from its takeover. The earlier owner, which could not hear of its loss, renewed the leases of its runs there until its own lease on the partition was over, up to 1.2 s later. Ruled out: the worker keeps the runs too long after its owner's last heartbeat; the new owner does not wait.

Each owner's fence now carries a record of its term, which a later owner removes when the term has ended. Who takes a partition over has the coordinators that the records name end those terms at once (EndTerms); at a planned stop they say so unasked (TermsEnded). The write-off counts from the end of the last earlier term; only for an owner that can't be asked it is the lease on the partition later. It works since a term is never begun again and nobody but its owner renews in it.

On a related path, a run that was reported to the new owner, and whose worker restarted behind a cut, was written off by our last heartbeat alone; it follows the same rule now.

TestRevokedOwner and TestRevokedOwnerAtNewWorkers are about an owner that does not know of its loss. It would be told by its successors now, so both cut it from them; their checks are as before.

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -23,6 +23,7 @@
 	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/jobs/claims"
 	"github.com/lichenfall/lichenfall/jobs/dedup"
+	"github.com/lichenfall/lichenfall/jobs/durable"
 	"github.com/lichenfall/lichenfall/jobs/ownership"
 	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
@@ -50,6 +51,8 @@
 	core           *scheduler.Core
 	owned          *ownership.Table
 	terms          map[ownership.Term]*term     // that last, by what identifies them
+	earlierTerms   map[uint32][]durable.Term    // of others that may last, by partition of ours
+	endedTerms     map[uint32]uint64            // by partition: epoch of the newest term that another coordinator has ended
 	members        map[string]store.Member      // registered processes, by address
 	links          map[string]*link             // to workers and other coordinators, by address
 	inbound        inboundConns                 // from other coordinators
@@ -139,29 +142,31 @@
 
 func newCoordinator(cfg *config.Coordinator, s store.Store, m *metrics.Jobs, log *logging.Log, clk *clock.Clock) *Coordinator {
 	c := &Coordinator{
-		cfg:         cfg,
-		clock:       clk,
-		log:         log,
-		store:       s,
-		metrics:     m,
-		loop:        loop.New[event](eventBacklog),
-		member:      cfg.Box.Name + "/" + uuid.NewString(),
-		core:        scheduler.New(cfg.Scheduler.Core(cfg.Box.DataCentre), uint64(time.Now().UnixNano())),
-		owned:       ownership.New(cfg.Ownership.TTL.D()),
-		terms:       make(map[ownership.Term]*term),
-		members:     make(map[string]store.Member),
-		links:       make(map[string]*link),
-		inbound:     newInboundConns(),
-		routes:      make(map[uint32]route),
-		dedup:       dedup.New(cfg.Dedup.Core(&cfg.Scheduler)),
-		claims:      claims.NewClaimant(),
-		witnesses:   make(map[string]*link),
-		calls:       make(map[scheduler.Call]*call),
-		forwarded:   make(map[uint64]*call),
-		peerCounts:  make(map[string]map[string]uint32),
-		announced:   &wire.QueueCounts{},
-		joinNow:     make(chan struct{}, 1),
-		membersRead: make(chan struct{}),
+		cfg:          cfg,
+		clock:        clk,
+		log:          log,
+		store:        s,
+		metrics:      m,
+		loop:         loop.New[event](eventBacklog),
+		member:       cfg.Box.Name + "/" + uuid.NewString(),
+		core:         scheduler.New(cfg.Scheduler.Core(cfg.Box.DataCentre), uint64(time.Now().UnixNano())),
+		owned:        ownership.New(cfg.Ownership.TTL.D()),
+		terms:        make(map[ownership.Term]*term),
+		earlierTerms: make(map[uint32][]durable.Term),
+		endedTerms:   make(map[uint32]uint64),
+		members:      make(map[string]store.Member),
+		links:        make(map[string]*link),
+		inbound:      newInboundConns(),
+		routes:       make(map[uint32]route),
+		dedup:        dedup.New(cfg.Dedup.Core(&cfg.Scheduler)),
+		claims:       claims.NewClaimant(),
+		witnesses:    make(map[string]*link),
+		calls:        make(map[scheduler.Call]*call),
+		forwarded:    make(map[uint64]*call),
+		peerCounts:   make(map[string]map[string]uint32),
+		announced:    &wire.QueueCounts{},
+		joinNow:      make(chan struct{}, 1),
+		membersRead:  make(chan struct{}),
 	}
 	c.memberSync = memberSync{read: c.syncMembers, now: clk.Now}
 	return c
--- /dev/null
+++ b/jobs/coordinator/earlierterms.go
@@ -0,0 +1,79 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lichenfall/lichenfall/jobs/durable"
+	"github.com/lichenfall/lichenfall/jobs/ownership"
+	"github.com/lichenfall/lichenfall/lib/peer"
+	"github.com/lichenfall/lichenfall/wire"
+)
+
+// A coordinator that takes a partition over has the earlier owners end their terms at once: the store
+// may not answer them, and they would send heartbeats until their leases are over. Those that can't be
+// reached are waited for by the core.
+
+// endEarlierTerms ends the earlier terms that the store names beside ours. A term of our own address has
+// ended: of this process, since a process has one term of a partition at a time; of a process before it,
+// since that is gone.
+func (c *Coordinator) endEarlierTerms(now time.Time, id ownership.Term, terms []durable.Term) {
+	var others []durable.Term
+	for _, t := range terms {
+		switch {
+		case t.Epoch == id.Epoch:
+		case t.Address == c.peers.Advertised() || c.endedTerms[id.Partition] == t.Epoch:
+			c.core.EarlierTermEnded(now, id.Partition, t.Epoch)
+		default:
+			others = append(others, t)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	c.earlierTerms[id.Partition] = others
+	for _, t := range others {
+		c.askToEnd(t.Address)
+	}
+}
+
+// askToEnd asks the coordinator at the address to end its terms of partitions that we own now, if it is
+// connected. Otherwise it is asked when it is.
+func (c *Coordinator) askToEnd(address string) {
+	m := &wire.EndTerms{}
+	for partition, terms := range c.earlierTerms {
+		for _, t := range terms {
+			if t.Address == address {
+				m.Terms = append(m.Terms, wire.PartitionEpoch{Partition: partition, Epoch: t.Epoch})
+			}
+		}
+	}
+	if l := c.links[address]; l != nil && l.role == wire.RoleCoordinator && len(m.Terms) > 0 {
+		c.sendCoordinator(l, m)
+	}
+}
+
+// handleEndTerms ends terms of ours as another coordinator demands that owns their partitions now. The
+// store has not told us so yet, or could not.
+func (c *Coordinator) handleEndTerms(now time.Time, conn *peer.Conn, m *wire.EndTerms) {
+	for _, t := range m.Terms {
+		c.loseTerm(now, ownership.Term{Partition: t.Partition, Epoch: t.Epoch})
+	}
+	reply := &wire.TermsEnded{Terms: m.Terms}
+	if err := conn.Send(reply); err != nil {
+		c.log.Debug("message_unsent", zap.Stringer("kind", reply.WireKind()), zap.Error(err))
+	}
+}
+
+// handleTermsEnded records that terms of another coordinator have ended. At a planned stop it says so
+// before we take its partitions over.
+func (c *Coordinator) handleTermsEnded(now time.Time, m *wire.TermsEnded) {
+	for _, t := range m.Terms {
+		c.endedTerms[t.Partition] = max(c.endedTerms[t.Partition], t.Epoch)
+		c.core.EarlierTermEnded(now, t.Partition, t.Epoch)
+		ended := func(e durable.Term) bool { return e.Epoch == t.Epoch }
+		c.earlierTerms[t.Partition] = slices.DeleteFunc(c.earlierTerms[t.Partition], ended)
+	}
+}
--- a/jobs/coordinator/group.go
+++ b/jobs/coordinator/group.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lichenfall/lichenfall/lib/loop"
+	"github.com/lichenfall/lichenfall/wire"
 )
 
 // joinLoop joins the group of owners again and again, which renews the lease on our partitions. It
@@ -84,9 +85,14 @@
 		return false
 	}
 	c.leaving = true
+	ended := &wire.TermsEnded{}
 	for id := range c.terms {
 		c.endTerm(now, id, "stopping")
+		ended.Terms = append(ended.Terms, wire.PartitionEpoch{Partition: id.Partition, Epoch: id.Epoch})
 	}
 	c.owned.Clear()
+	if len(ended.Terms) > 0 {
+		c.broadcast(ended)
+	}
 	return true
 }
--- a/jobs/coordinator/links.go
+++ b/jobs/coordinator/links.go
@@ -73,6 +73,7 @@
 	}
 	c.log.Info("coordinator_up", zap.String("peer", e.address))
 	c.announcedAt = time.Time{}
+	c.askToEnd(e.address)
 }
 
 // reportRecord sends a worker its record in the store, as far as we have read it. A worker that has
@@ -145,6 +146,10 @@
 		c.core.RecordCrashes(now, m)
 	case *wire.HandOver:
 		c.requestJoin()
+	case *wire.EndTerms:
+		c.handleEndTerms(now, e.conn, m)
+	case *wire.TermsEnded:
+		c.handleTermsEnded(now, m)
 	}
 }
 
--- a/jobs/coordinator/takeover.go
+++ b/jobs/coordinator/takeover.go
@@ -16,7 +16,7 @@
 const readPause = 50 * time.Millisecond
 
 // read fences the earlier owners of a partition, which was assigned to us at the time given, and posts
-// the jobs that they left. It returns whether it has; otherwise the term is over.
+// what they left. It returns whether it has; otherwise the term is over.
 //
 // It also reads which workers are registered, after that time: each has to be asked for its runs of
 // the partition. An earlier owner orders at a worker only once the store has confirmed its ownership
@@ -34,7 +34,7 @@
 			records, err = c.readOnce(ctx, id)
 		}
 		if err == nil {
-			c.postResult(id, partitionRead{c.collect(id.Partition, records)})
+			c.postResult(id, c.collect(id.Partition, assigned, records))
 			return true
 		}
 		if ctx.Err() != nil {
@@ -54,17 +54,20 @@
 func (c *Coordinator) readOnce(ctx context.Context, id ownership.Term) ([]durable.Record, error) {
 	call, cancel := context.WithTimeout(ctx, c.cfg.Ownership.ReadLimit.D())
 	defer cancel()
-	if err := c.store.Fence(call, id.Partition, id.Epoch); err != nil {
+	term := durable.TermRecord(durable.Term{Epoch: id.Epoch, Address: c.peers.Advertised()})
+	if err := c.store.Fence(call, id.Partition, id.Epoch, term); err != nil {
 		return nil, err
 	}
 	return c.store.NewestRecords(call, id.Partition)
 }
 
-// collect groups the records of a partition by job. Malformed records are left out and logged.
-func (c *Coordinator) collect(partition uint32, records []durable.Record) map[durable.JobID]*durable.Stored {
-	stored, malformed := durable.Collect(records)
+// collect groups the records of a partition, which was assigned to us at the time given. Malformed
+// records are left out and logged.
+func (c *Coordinator) collect(partition uint32, assigned time.Time, records []durable.Record) partitionRead {
+	terms, others := durable.SplitTerms(records)
+	stored, malformed := durable.Collect(others)
 	for _, key := range malformed {
 		c.log.Warn("record_malformed", zap.Uint32("partition", partition), zap.String("key", key))
 	}
-	return stored
+	return partitionRead{assigned: assigned, jobs: stored, terms: terms}
 }
--- a/jobs/coordinator/term.go
+++ b/jobs/coordinator/term.go
@@ -38,6 +38,7 @@
 		return
 	}
 	delete(c.terms, id)
+	delete(c.earlierTerms, id.Partition)
 	t.stop()
 	c.core.Release(now, id.Partition, reason)
 }
@@ -87,15 +88,26 @@
 	return t
 }
 
-// partitionRead holds the jobs of a partition as they were read from the store.
+// partitionRead holds what was read of a partition from the store.
 type partitionRead struct {
-	stored map[durable.JobID]*durable.Stored
+	assigned time.Time // when the partition was assigned to us
+	jobs     map[durable.JobID]*durable.Stored
+	terms    []durable.Term // that may last, with our own
 }
 
 func (e partitionRead) applyTo(c *Coordinator, now time.Time, id ownership.Term) {
-	c.core.Acquire(now, id.Partition, id.Epoch, e.stored)
+	t := scheduler.Takeover{Partition: id.Partition, Epoch: id.Epoch, Jobs: e.jobs}
+	// An earlier owner's last join that the store granted was before it assigned the partition to us.
+	t.EarlierEndBy = e.assigned.Add(c.owned.TTL)
+	for _, term := range e.terms {
+		if term.Epoch != id.Epoch {
+			t.Earlier = append(t.Earlier, term.Epoch)
+		}
+	}
+	c.core.Acquire(now, &t)
 	c.core.Suspend(now, id.Partition, !c.owned.Valid(now))
-	c.log.Info("partition_owned", zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch), zap.Int("jobs", len(e.stored)))
+	c.endEarlierTerms(now, id, e.terms)
+	c.log.Info("partition_owned", zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch), zap.Int("jobs", len(e.jobs)), zap.Int("earlier_terms", len(t.Earlier)))
 	c.announcedAt = time.Time{}
 }
 
--- a/jobs/coordinator/terms_test.go
+++ b/jobs/coordinator/terms_test.go
@@ -72,7 +72,7 @@
 	c.t.Helper()
 	c.client.Reassign(1)
 	c.joinOther()
-	if err := c.client.Store.Fence(context.Background(), 0, c.other); err != nil {
+	if err := c.client.Store.Fence(context.Background(), 0, c.other, durable.TermRecord(durable.Term{Epoch: c.other})); err != nil {
 		c.t.Fatal(err)
 	}
 	if id == "" {
@@ -200,6 +200,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	_, records = durable.SplitTerms(records)
 	stored, _ := durable.Collect(records)
 	for _, id := range ids {
 		if s := stored[id]; s == nil || s.Submission == nil {
--- a/jobs/fakestore/client.go
+++ b/jobs/fakestore/client.go
@@ -147,8 +147,8 @@
 }
 
 // Fence implements store.Store.
-func (c *Client) Fence(ctx context.Context, partition uint32, epoch uint64) error {
-	return c.do(ctx, CallFence, func() error { return c.Store.Fence(ctx, partition, epoch) })
+func (c *Client) Fence(ctx context.Context, partition uint32, epoch uint64, term durable.Record) error {
+	return c.do(ctx, CallFence, func() error { return c.Store.Fence(ctx, partition, epoch, term) })
 }
 
 // Append implements store.Store.
--- a/jobs/fakestore/state.go
+++ b/jobs/fakestore/state.go
@@ -178,18 +178,10 @@
 	s.generation++
 }
 
-// Fence raises the epoch of a partition; from then on, appends under lower epochs fail. It
-// returns store.ErrFenced if the epoch is already higher.
-func (s *State) Fence(partition uint32, epoch uint64) error {
-	p := s.partitions[partition]
-	if epoch < p.epoch {
-		return store.ErrFenced
-	}
-	if epoch > p.epoch {
-		p.epoch, p.lastNumber = epoch, 0
-		p.applied = make(map[uint64]bool)
-	}
-	return nil
+// Fence raises the epoch of a partition and adds the record of the term; from then on, appends under
+// lower epochs fail. It returns store.ErrFenced if the epoch is already higher.
+func (s *State) Fence(partition uint32, epoch uint64, term durable.Record) error {
+	return s.Append(partition, epoch, store.FenceNumber, []durable.Record{term})
 }
 
 // Append adds records to a partition; one without a value removes its key. Numbers count the
--- a/jobs/fakestore/store.go
+++ b/jobs/fakestore/store.go
@@ -97,13 +97,13 @@
 }
 
 // Fence carries out store.Store.Fence.
-func (s *Store) Fence(_ context.Context, partition uint32, epoch uint64) error {
+func (s *Store) Fence(_ context.Context, partition uint32, epoch uint64, term durable.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refusing {
 		return store.ErrRefused
 	}
-	return s.state.Fence(partition, epoch)
+	return s.state.Fence(partition, epoch, term)
 }
 
 // Append carries out store.Store.Append.
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -13,6 +13,13 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
+// takingOver is an attempt to take a partition over.
+type takingOver struct {
+	epoch    uint64
+	ticket   int
+	assigned time.Time // when the partition was assigned
+}
+
 // nodeCall is a client's call to a coordinator.
 type nodeCall struct {
 	kind       wire.CallKind
@@ -32,7 +39,8 @@
 	owned      *ownership.Table
 	epochs     map[uint32]uint64
 	append     map[uint32]*store.AppendTracker
-	loading    map[uint32]int
+	loading    map[uint32]takingOver     // by partition
+	earlier    map[uint32][]durable.Term // terms of others that may last, by partition
 	lastTicket int
 	conns      map[string]*conn
 	dialing    map[string]bool
@@ -136,6 +144,7 @@
 
 func (n *coordinatorNode) release(p uint32) {
 	delete(n.loading, p)
+	delete(n.earlier, p)
 	delete(n.epochs, p)
 	delete(n.append, p)
 	n.core.Release(n.now(), p, "given up")
@@ -146,7 +155,7 @@
 func (n *coordinatorNode) load(p uint32, epoch uint64) {
 	n.lastTicket++
 	ticket := n.lastTicket
-	n.loading[p] = ticket
+	n.loading[p] = takingOver{epoch, ticket, n.now()}
 	n.fence(p, epoch, ticket)
 }
 
@@ -154,15 +163,16 @@
 	incarnation := n.incarnation
 	again := func() {
 		n.later(50*time.Millisecond, func() {
-			if n.loading[p] == ticket {
+			if n.loading[p].ticket == ticket {
 				n.fence(p, epoch, ticket)
 			}
 		})
 	}
-	n.w.storeCall(n.name, time.Second, func() error { return n.w.store.Fence(p, epoch) }, func(err error, ok bool) {
+	record := durable.TermRecord(durable.Term{Epoch: epoch, Address: n.name})
+	n.w.storeCall(n.name, time.Second, func() error { return n.w.store.Fence(p, epoch, record) }, func(err error, ok bool) {
 		n.post(incarnation, func() {
 			switch {
-			case n.loading[p] != ticket:
+			case n.loading[p].ticket != ticket:
 			case ok && err == nil:
 				n.read(p, epoch, ticket)
 			case ok && err == store.ErrFenced:
@@ -184,7 +194,7 @@
 	}, func(err error, ok bool) {
 		n.post(incarnation, func() {
 			switch {
-			case n.loading[p] != ticket:
+			case n.loading[p].ticket != ticket:
 			case !ok || err != nil:
 				n.fence(p, epoch, ticket)
 			default:
@@ -195,14 +205,24 @@
 }
 
 func (n *coordinatorNode) loaded(p uint32, epoch uint64, records []durable.Record) {
+	t := scheduler.Takeover{Partition: p, Epoch: epoch, EarlierEndBy: n.loading[p].assigned.Add(n.owned.TTL)}
 	delete(n.loading, p)
-	stored, malformed := durable.Collect(records)
+	terms, others := durable.SplitTerms(records)
+	stored, malformed := durable.Collect(others)
 	if len(malformed) > 0 {
 		n.w.violated("malformed records %v", malformed)
 	}
 	n.epochs[p] = epoch
 	n.append[p] = store.NewAppendTracker()
-	n.core.Acquire(n.now(), p, epoch, stored)
+	t.Jobs = stored
+	for _, term := range terms {
+		if term.Epoch != epoch {
+			t.Earlier = append(t.Earlier, term.Epoch)
+			n.earlier[p] = append(n.earlier[p], term)
+		}
+	}
+	n.core.Acquire(n.now(), &t)
+	n.endEarlierTerms()
 	n.core.Suspend(n.now(), p, !n.owned.Valid(n.now()))
 	n.w.counts["takeovers"]++
 	n.perform()
@@ -378,7 +398,8 @@
 	n.owned = ownership.New(1200 * time.Millisecond)
 	n.epochs = make(map[uint32]uint64)
 	n.append = make(map[uint32]*store.AppendTracker)
-	n.loading = make(map[uint32]int)
+	n.loading = make(map[uint32]takingOver)
+	n.earlier = make(map[uint32][]durable.Term)
 	n.conns = make(map[string]*conn)
 	n.dialing = make(map[string]bool)
 	n.calls = make(map[scheduler.Call]*nodeCall)
@@ -406,6 +427,7 @@
 func (n *coordinatorNode) tick() {
 	n.dial()
 	n.updateSuspended()
+	n.endEarlierTerms()
 	n.beginTickPeers()
 	n.core.Tick(n.now())
 	n.tickPeers()
--- a/jobs/promises/revoked_test.go
+++ b/jobs/promises/revoked_test.go
@@ -10,8 +10,8 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// TestRevokedOwner has the store refuse a coordinator and assign its partitions to others without
-// its knowledge. While its lease lasts, up to 1.2 s, the coordinator may not answer that a job does
+// TestRevokedOwner has the store refuse a coordinator and assign its partitions to others, which
+// cannot reach it, without its knowledge. While its lease lasts, up to 1.2 s, the coordinator may not answer that a job does
 // not exist which a new owner has acknowledged, nor that a job is not final which a new owner has
 // reported as final.
 func TestRevokedOwner(t *testing.T) {
@@ -22,6 +22,7 @@
 		w.run(warmUp)
 		old := w.coordinators[seed%coordinatorCount]
 		w.refused[old.name] = true
+		w.cutFromOthers(old)
 		w.store.Reassign(w.now, 1)
 		for n := range jobsInCase {
 			j := newClientJob(w, n, false)
@@ -47,6 +48,13 @@
 	t.Logf("%d cases, %d queries to a superseded owner", cases, asked)
 }
 
+// cutFromOthers cuts a coordinator from the others.
+func (w *world) cutFromOthers(n *coordinatorNode) {
+	for _, o := range w.coordinators {
+		w.cut[link{n.name, o.name}], w.cut[link{o.name, n.name}] = true, true
+	}
+}
+
 // queryStateAt asks one coordinator for the job's state, which may not forward the call.
 func (j *clientJob) queryStateAt(n *coordinatorNode) {
 	incarnation := n.incarnation
@@ -79,6 +87,7 @@
 		}
 		w.run(400 * time.Millisecond)
 		w.refused[old.name] = true
+		w.cutFromOthers(old)
 		w.store.Reassign(w.now, 1)
 		for i := range w.workers {
 			w.restartOutOfReach(i, old, w.between(100*time.Millisecond, time.Second))
--- a/jobs/promises/revokedcut_test.go
+++ b/jobs/promises/revokedcut_test.go
@@ -11,6 +11,19 @@
 // write the worker off. Tasks last longer than any lease.
 func TestRevokedOwnerReachesWhatTheNextOneDoesNot(t *testing.T) {
 	t.Parallel()
+	playRevokedOwner(t, func(*world, *coordinatorNode) {})
+}
+
+// TestRevokedOwnerCutFromTheNextOne guards against the same where the new owners cannot have the former
+// one end its terms either.
+func TestRevokedOwnerCutFromTheNextOne(t *testing.T) {
+	t.Parallel()
+	playRevokedOwner(t, (*world).cutFromOthers)
+}
+
+// playRevokedOwner plays the cases; also does more to the world at the moment of the revocation.
+func playRevokedOwner(t *testing.T, also func(*world, *coordinatorNode)) {
+	t.Helper()
 	const jobs = 6
 	cases := envNumber("LICHENFALL_CASES", defaultCases)
 	seed := envNumber("LICHENFALL_SEED", defaultSeed)
@@ -30,6 +43,7 @@
 			}
 		}
 		w.refused[old.name] = true
+		also(w, old)
 		w.store.Reassign(w.now, 1)
 		for k := range 2 {
 			w.after(w.between(2*time.Second, 2700*time.Millisecond), func() { w.killWorker(k, 3*time.Second) })
--- a/jobs/scheduler/commits.go
+++ b/jobs/scheduler/commits.go
@@ -14,6 +14,7 @@
 	submitted []*job
 	changed   []changedJob
 	forgotten []durable.JobID
+	terms     []uint64 // epochs of earlier terms whose records it removes
 }
 
 // changedJob is a job whose progress is in a commit, with the acknowledgements and the replies
@@ -56,6 +57,7 @@
 // the commit has reached MaxBatch bytes; the rest is due for the next commit at once.
 func (c *Core) startCommit(now time.Time, p *partition) {
 	d := &draft{commit: Commit{Partition: p.number, Epoch: p.epoch}, batch: &batch{}}
+	c.addTermTombstones(p, d)
 	c.addSubmissions(p, d)
 	c.addProgress(p, d)
 	p.commitBy = time.Time{}
@@ -224,5 +226,9 @@
 		j.cancels = append(ch.cancels, j.cancels...)
 		p.markChanged(now, j)
 	}
+	if len(b.terms) > 0 {
+		p.earlier.removed = append(b.terms, p.earlier.removed...)
+		p.requestCommit(now)
+	}
 	p.notBefore = now.Add(c.cfg.CommitRetry)
 }
--- a/jobs/scheduler/decisions.go
+++ b/jobs/scheduler/decisions.go
@@ -36,6 +36,7 @@
 	PartitionAcquired   Decision = "partition_acquired"    // this coordinator owns it now
 	PartitionReleased   Decision = "partition_released"    // another coordinator owns it, or will
 	PartitionSuspended  Decision = "partition_suspended"   // the lease may have expired, or is valid again
+	EarlierTermEnded    Decision = "earlier_term_ended"    // an earlier owner renews no leases of the partition any more
 	RecordInvalid       Decision = "record_invalid"        // a fault of the program: the record could not be encoded
 	jobPrefix                    = "job_"                  // job_completed, job_failed, job_cancelled: decided, not yet stored
 )
--- a/jobs/scheduler/partition.go
+++ b/jobs/scheduler/partition.go
@@ -16,6 +16,7 @@
 	suspended bool                // our lease on it may have expired
 	fencedAt  time.Time           // when a worker last reported a later owner
 	awaiting  map[string]*awaited // workers still to report their runs of it
+	earlier   earlierTerms
 
 	submitted []*job    // jobs whose submission is to be written
 	changed   []*job    // jobs whose progress is to be written
@@ -27,16 +28,29 @@
 
 // awaited is a worker that has not reported its runs of a partition yet.
 type awaited struct {
-	until   time.Time // when what it ran for earlier owners has certainly ended
+	since   time.Time // when we began to wait for it
 	pending bool      // it has said that our heartbeats keep its runs alive
 }
 
 // writtenOff returns whether the worker's runs of the partition have certainly ended.
-func (c *Core) writtenOff(now time.Time, w *worker, a *awaited) bool {
-	if a.pending && now.Sub(w.heartbeatAt) <= c.cfg.WriteOff {
-		return false
+func (c *Core) writtenOff(now time.Time, p *partition, w *worker, a *awaited) bool {
+	renewed := a.since
+	if a.pending {
+		renewed = w.heartbeatAt
 	}
-	return now.After(a.until)
+	return now.Sub(p.lastRenewed(renewed)) > c.cfg.WriteOff
+}
+
+// Takeover is a partition that this coordinator takes over.
+type Takeover struct {
+	Partition uint32
+	Epoch     uint64
+	Jobs      map[durable.JobID]*durable.Stored // all that the store holds of it
+	// Earlier lists the epochs of the terms of earlier owners that the store still names.
+	Earlier []uint64
+	// EarlierEndBy is when all terms of earlier owners have certainly ended, also those of owners that
+	// can't be notified.
+	EarlierEndBy time.Time
 }
 
 // requestCommit makes the next commit due by that time at the latest.
@@ -55,27 +69,27 @@
 	p.requestCommit(by)
 }
 
-// Acquire adds a partition that this coordinator now owns under the epoch, with all that the store
-// holds of it. Its open jobs go on once every worker has reported what it runs of the partition, or
-// the leases of its runs have certainly expired.
-func (c *Core) Acquire(now time.Time, number uint32, epoch uint64, stored map[durable.JobID]*durable.Stored) {
+// Acquire adds a partition that this coordinator now owns. Its open jobs go on once every worker has
+// reported what it runs of the partition, or the leases of its runs have certainly expired.
+func (c *Core) Acquire(now time.Time, t *Takeover) {
 	p := &partition{
-		number:   number,
-		epoch:    epoch,
-		jobs:     make(map[durable.JobID]*job, len(stored)),
+		number:   t.Partition,
+		epoch:    t.Epoch,
+		jobs:     make(map[durable.JobID]*job, len(t.Jobs)),
 		awaiting: make(map[string]*awaited),
+		earlier:  newEarlierTerms(t),
 	}
-	c.partitions[number] = p
+	c.partitions[t.Partition] = p
 	open := 0
-	for _, id := range ordered.Keys(stored) {
-		s := stored[id]
+	for _, id := range ordered.Keys(t.Jobs) {
+		s := t.Jobs[id]
 		if j := c.restoreJob(now, p, id, s); j != nil && !j.state.Final() {
 			open++
 		}
 	}
-	if len(stored) > 0 { // otherwise no worker can have runs of it
+	if len(t.Jobs) > 0 { // otherwise no worker can have runs of it
 		for _, w := range c.allWorkers {
-			p.awaiting[w.name] = &awaited{until: now.Add(c.cfg.WriteOff)}
+			p.awaiting[w.name] = &awaited{since: now}
 		}
 	}
 	for _, w := range c.allWorkers {
@@ -178,8 +192,9 @@
 // certainly ended. It ends the reconciliation of partitions without outstanding reports.
 func (c *Core) tickPartitions(now time.Time) {
 	for _, p := range ordered.Values(c.partitions) {
+		c.expireEarlierTerms(now, p)
 		for _, name := range ordered.Keys(p.awaiting) {
-			if c.writtenOff(now, c.workers[name], p.awaiting[name]) {
+			if c.writtenOff(now, p, c.workers[name], p.awaiting[name]) {
 				c.note(Note{What: WorkerWrittenOff, Worker: name, Measure: PartitionNumber, Value: int64(p.number)})
 				delete(p.awaiting, name)
 			}
--- a/jobs/scheduler/reports.go
+++ b/jobs/scheduler/reports.go
@@ -168,13 +168,14 @@
 // writeOff queues the tasks of an unreachable worker again once the leases of their runs have
 // certainly expired.
 func (c *Core) writeOff(now time.Time, w *worker) {
-	silent := now.Sub(w.heartbeatAt)
 	for _, t := range w.tasks() {
-		after := c.cfg.WriteOff
+		renewed, after := w.heartbeatAt, c.cfg.WriteOff
 		if t.job.sub.BestEffort {
 			after = c.cfg.BestEffortWriteOff
+		} else if p := c.partitions[t.id.Job.Partition(c.cfg.Partitions)]; p != nil {
+			renewed = p.lastRenewed(renewed)
 		}
-		if silent > after {
+		if now.Sub(renewed) > after {
 			c.requeueLost(now, t, RunWrittenOff)
 		}
 	}
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -49,7 +49,7 @@
 
 // owning makes the core the owner of the job's partition, with the stored jobs.
 func (f *fixture) owning(stored map[durable.JobID]*durable.Stored) *fixture {
-	f.core.Acquire(f.now, f.partition(), epoch, stored)
+	f.core.Acquire(f.now, &scheduler.Takeover{Partition: f.partition(), Epoch: epoch, Jobs: stored})
 	return f
 }
 
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -66,7 +66,7 @@
 	c.updateEligible(w)
 	for _, p := range ordered.Values(c.partitions) {
 		if _, asked := p.awaiting[name]; !asked && len(p.awaiting) > 0 {
-			p.awaiting[name] = &awaited{until: now.Add(c.cfg.WriteOff)}
+			p.awaiting[name] = &awaited{since: now}
 		}
 	}
 }
--- a/jobs/store/store.go
+++ b/jobs/store/store.go
@@ -36,6 +36,9 @@
 	return errs.New("the store expects append number %d", e.Wanted).Error()
 }
 
+// FenceNumber is the number of the append that Store.Fence makes under an epoch.
+const FenceNumber = 0
+
 // Assignment is the store's answer to a member of the group of owners: the partitions that are
 // assigned to it.
 type Assignment struct {
@@ -102,8 +105,9 @@
 	Join(ctx context.Context, member string, generation uint64, ttl time.Duration) (Assignment, error)
 	// Leave leaves the group of owners, which gives up all partitions at once.
 	Leave(ctx context.Context, member string) error
-	// Fence makes the store refuse appends to the partition under lower epochs.
-	Fence(ctx context.Context, partition uint32, epoch uint64) error
+	// Fence makes the store refuse appends to the partition under lower epochs, and adds the record of
+	// the term as append number FenceNumber of the epoch.
+	Fence(ctx context.Context, partition uint32, epoch uint64, term durable.Record) error
 	// Append adds all of the records or none. Numbers count the appends to a partition under one
 	// epoch, from 1; a call with a number that was already carried out succeeds without effect.
 	Append(ctx context.Context, partition uint32, epoch, number uint64, records []durable.Record) error
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -7,10 +7,10 @@
 )
 
 //go:generate go tool msgp -io=false -tests=false -file jobs.go -o jobs_gen.go
-//msgp:tuple PartitionEpoch OwnerHeartbeat Evacuations BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver RunsQuery RunNeed RunNeeds ReportPending TaskCrash CrashReport KeepAlive KeepAliveAck RecordedBackend CapacityRequest WaitingGroup WaitingWork JobClaims DeniedClaim JobClaimsReply
+//msgp:tuple PartitionEpoch OwnerHeartbeat Evacuations BackendIdentity WorkerStatus RunRef RunOrder RunEnd StartRuns StopRuns RunEnds EndsKept PartitionRuns JobCall JobReply QueueCount QueueCounts HandOver EndTerms TermsEnded RunsQuery RunNeed RunNeeds ReportPending TaskCrash CrashReport KeepAlive KeepAliveAck RecordedBackend CapacityRequest WaitingGroup WaitingWork JobClaims DeniedClaim JobClaimsReply
 //msgp:limit arrays:65536
 
-// PartitionEpoch states that the sender owns a partition, and its fencing epoch.
+// PartitionEpoch names one ownership of a partition, a term, by its fencing epoch.
 type PartitionEpoch struct {
 	Partition uint32
 	Epoch     uint64
@@ -294,6 +294,18 @@
 // HandOver asks other coordinators to check at once which partitions they own.
 type HandOver struct{}
 
+// EndTerms asks a coordinator to end terms of its address at once, since the sender owns the partitions
+// in later ones. The reply is a TermsEnded.
+type EndTerms struct {
+	Terms []PartitionEpoch
+}
+
+// TermsEnded states that the terms of the sender's address have ended, so that no heartbeat is sent in
+// them any more. It answers EndTerms, and is also sent at a planned stop.
+type TermsEnded struct {
+	Terms []PartitionEpoch
+}
+
 // RunNeed is the capacity that one run takes of its backend server.
 type RunNeed struct {
 	Ref  RunRef
--- a/wire/jobs_gen.go
+++ b/wire/jobs_gen.go
@@ -357,6 +357,80 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *EndTerms) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Terms)))
+	for za0001 := range z.Terms {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint32(o, z.Terms[za0001].Partition)
+		o = msgp.AppendUint64(o, z.Terms[za0001].Epoch)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndTerms) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Terms")
+		return
+	}
+	if zb0002 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Terms) >= int(zb0002) {
+		z.Terms = (z.Terms)[:zb0002]
+	} else {
+		z.Terms = make([]PartitionEpoch, zb0002)
+	}
+	for za0001 := range z.Terms {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Terms", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Terms[za0001].Partition, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Terms", za0001, "Partition")
+			return
+		}
+		z.Terms[za0001].Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Terms", za0001, "Epoch")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EndTerms) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Terms) * (17 + msgp.Uint32Size + msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *EndsKept) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2305,6 +2379,80 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *TermsEnded) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Terms)))
+	for za0001 := range z.Terms {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint32(o, z.Terms[za0001].Partition)
+		o = msgp.AppendUint64(o, z.Terms[za0001].Epoch)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TermsEnded) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Terms")
+		return
+	}
+	if zb0002 > z267f2b0elimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Terms) >= int(zb0002) {
+		z.Terms = (z.Terms)[:zb0002]
+	} else {
+		z.Terms = make([]PartitionEpoch, zb0002)
+	}
+	for za0001 := range z.Terms {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Terms", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Terms[za0001].Partition, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Terms", za0001, "Partition")
+			return
+		}
+		z.Terms[za0001].Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Terms", za0001, "Epoch")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TermsEnded) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Terms) * (17 + msgp.Uint32Size + msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *WaitingGroup) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -37,6 +37,8 @@
 	KindJobClaims       Kind = 29
 	KindJobClaimsReply  Kind = 30
 	KindReportPending   Kind = 31
+	KindEndTerms        Kind = 32
+	KindTermsEnded      Kind = 33
 )
 
 // kindInfo holds the name and the constructor of a kind of message.
@@ -78,6 +80,8 @@
 	KindJobClaims:       {"job_claims", func() Message { return &JobClaims{} }},
 	KindJobClaimsReply:  {"job_claims_reply", func() Message { return &JobClaimsReply{} }},
 	KindReportPending:   {"report_pending", func() Message { return &ReportPending{} }},
+	KindEndTerms:        {"end_terms", func() Message { return &EndTerms{} }},
+	KindTermsEnded:      {"terms_ended", func() Message { return &TermsEnded{} }},
 }
 
 // String returns the kind's name, as used in metric labels.
@@ -208,3 +212,9 @@
 
 // WireKind returns KindReportPending.
 func (*ReportPending) WireKind() Kind { return KindReportPending }
+
+// WireKind returns KindEndTerms.
+func (*EndTerms) WireKind() Kind { return KindEndTerms }
+
+// WireKind returns KindTermsEnded.
+func (*TermsEnded) WireKind() Kind { return KindTermsEnded }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -53,6 +53,8 @@
 		&wire.CapacityRequest{Seq: 4, Seen: 77, Waits: []wire.WaitingGroup{{WaitingWork: wire.WaitingWork{Priority: 1, FirstMS: -20, LastMS: 90, Work: 1200}, Need: durable.Resources{CPU: 1500, Memory: 64}, Tasks: 3}}},
 		&wire.JobClaims{Seq: 2, Complete: true, Withdrawn: []uint64{7}, Claims: []uint64{1 << 63, 8}},
 		&wire.ReportPending{Partition: 3, Epoch: 7},
+		&wire.EndTerms{Terms: []wire.PartitionEpoch{{Partition: 3, Epoch: 7}}},
+		&wire.TermsEnded{Terms: []wire.PartitionEpoch{{Partition: 3, Epoch: 7}}},
 		&wire.JobClaimsReply{Seq: 2, Unsure: true, Denied: []wire.DeniedClaim{{Job: 8, Holder: "10.0.0.1:7071"}}},
 		&wire.RunNeeds{Runs: []wire.RunNeed{{Ref: someRun, Need: durable.Resources{CPU: 1500, Memory: 64}}}},
 	}
