store: number the fence's append, and later ones after it

The fence carries the record of a term since the last commit, under the number 0. The end-to-end tests of the platform then accepted no kept job: a store may take 1 for the first number of an epoch and refuse an append numbered 0. The fence is append 1 now, and the first commit is append 2.

TestPlatform failed in 60 s for each spec with kept jobs, and passes (22 s).

--- a/jobs/coordinator/terms_test.go
+++ b/jobs/coordinator/terms_test.go
@@ -11,6 +11,7 @@
 	"github.com/lichenfall/lichenfall/jobs/durable"
 	"github.com/lichenfall/lichenfall/jobs/fakestore"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
+	"github.com/lichenfall/lichenfall/jobs/store"
 	"github.com/lichenfall/lichenfall/lib/failure"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/lib/ports"
@@ -80,7 +81,7 @@
 	}
 	r, err := durable.SubmissionRecord(keptJob(id))
 	if err == nil {
-		err = c.client.Store.Append(context.Background(), 0, c.other, 1, []durable.Record{r})
+		err = c.client.Store.Append(context.Background(), 0, c.other, store.FenceNumber+1, []durable.Record{r})
 	}
 	if err != nil {
 		c.t.Fatal(err)
--- a/jobs/coordinator/writer.go
+++ b/jobs/coordinator/writer.go
@@ -15,7 +15,7 @@
 
 // write appends the commits of a term, one at a time, and posts their results until ctx ends.
 func (c *Coordinator) write(ctx context.Context, id ownership.Term, commits <-chan scheduler.Commit) {
-	a := &appender{store: c.store, limit: c.cfg.Ownership.AppendLimit.D(), appending: store.NewAppendTracker(), log: c.log}
+	a := &appender{store: c.store, limit: c.cfg.Ownership.AppendLimit.D(), appending: store.NewAppendTracker(store.FenceNumber + 1), log: c.log}
 	for {
 		select {
 		case <-ctx.Done():
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -213,7 +213,7 @@
 		n.w.violated("malformed records %v", malformed)
 	}
 	n.epochs[p] = epoch
-	n.append[p] = store.NewAppendTracker()
+	n.append[p] = store.NewAppendTracker(store.FenceNumber + 1)
 	t.Jobs = stored
 	for _, term := range terms {
 		if term.Epoch != epoch {
--- a/jobs/store/append.go
+++ b/jobs/store/append.go
@@ -22,8 +22,8 @@
 	unanswered bool   // an attempt of the current append was not answered
 }
 
-// NewAppendTracker returns a tracker whose first append has the number 1.
-func NewAppendTracker() *AppendTracker { return &AppendTracker{number: 1} }
+// NewAppendTracker returns a tracker whose first append has the number first.
+func NewAppendTracker(first uint64) *AppendTracker { return &AppendTracker{number: first} }
 
 // Number returns the number of the current append.
 func (a *AppendTracker) Number() uint64 { return a.number }
--- a/jobs/store/store.go
+++ b/jobs/store/store.go
@@ -36,8 +36,9 @@
 	return errs.New("the store expects append number %d", e.Wanted).Error()
 }
 
-// FenceNumber is the number of the append that Store.Fence makes under an epoch.
-const FenceNumber = 0
+// FenceNumber is the number of the append that Store.Fence makes under an epoch. Numbers rise by one from
+// there.
+const FenceNumber = 1
 
 // Assignment is the store's answer to a member of the group of owners: the partitions that are
 // assigned to it.
@@ -109,7 +110,7 @@
 	// the term as append number FenceNumber of the epoch.
 	Fence(ctx context.Context, partition uint32, epoch uint64, term durable.Record) error
 	// Append adds all of the records or none. Numbers count the appends to a partition under one
-	// epoch, from 1; a call with a number that was already carried out succeeds without effect.
+	// epoch, from FenceNumber on; a call with a number that was already carried out succeeds without effect.
 	Append(ctx context.Context, partition uint32, epoch, number uint64, records []durable.Record) error
 	// NewestRecords returns the newest record of each key of the partition.
 	NewestRecords(ctx context.Context, partition uint32) ([]durable.Record, error)
