scheduler: group waiting tasks by need

Cause: a round of dispatch gave a queue up after 24 tasks that it could not place, whatever the reason. On the way it showed that one such task on time also kept back all overdue ones; that requests for capacity listed the first eight groups that wait, although no worker might be able to run these; and that forecasts counted work that nobody can run.

The queue is now a heap of groups of tasks with the same need. One look tells of a whole group that none of its tasks can start now, and of groups that need no less. Overdue tasks get the workers that no waiting task on time can use. It works since no bound of a round decides any more which tasks are ever looked at.

Ruled out: a higher bound, or skipping tasks that no worker could ever run: both leave the busy kind.

--- a/jobs/scheduler/admission.go
+++ b/jobs/scheduler/admission.go
@@ -70,7 +70,7 @@
 
 // forecastNew returns the forecast for a job that has arrived and whose first task is t.
 func (c *Core) forecastNew(now time.Time, s *supply, t *task) Forecast {
-	f := c.forecast(now, s, t, c.workAhead(t.job.sub.Queue.Service, t.virtualDeadline()))
+	f := c.forecast(now, s, t, c.workAhead(s, t.job.sub.Queue.Service, t.virtualDeadline()))
 	f.Allowed = time.Duration(maxWaitShare * float64(t.due.Sub(now)))
 	return f
 }
@@ -105,7 +105,7 @@
 func (c *Core) evictable(t *task) []*job {
 	var out []*job
 	deadline := t.virtualDeadline()
-	for _, o := range c.readyOf(t.job.sub.Queue.Service).onTime.tasks {
+	for o := range c.readyOf(t.job.sub.Queue.Service).onTime.all {
 		j := o.job
 		if j.class > t.job.class && j.mayBeRefused() && o == j.firstReady() && !o.virtualDeadline().After(deadline) {
 			out = append(out, j)
@@ -180,11 +180,11 @@
 // workAhead returns the work of the tasks on time at this coordinator whose virtual deadline is not
 // later than the given one, and of all jobs that wait for their claim, in thousandths of a core times
 // nanoseconds.
-func (c *Core) workAhead(service string, deadline time.Time) float64 {
+func (c *Core) workAhead(s *supply, service string, deadline time.Time) float64 {
 	work := c.unclaimedWork(service)
-	for _, t := range c.readyOf(service).onTime.tasks {
+	for t := range c.readyOf(service).onTime.all {
 		if !t.virtualDeadline().After(deadline) {
-			work += t.work()
+			work += t.work() * c.reach(s, t)
 		}
 	}
 	return work
--- a/jobs/scheduler/candidates.go
+++ b/jobs/scheduler/candidates.go
@@ -23,16 +23,15 @@
 	jitter  float64 // random term of its score
 }
 
-// candidates returns the sampled workers of the service that take tasks.
-func (c *Core) candidates(now time.Time, service string) []candidate {
-	sample := c.sample(service)
+// candidates returns the workers among the sample that serve the service and take tasks.
+func (c *Core) candidates(now time.Time, service string, sample []*worker) []candidate {
 	out := make([]candidate, 0, len(sample))
 	slow := make([]float64, 0, len(sample))
 	for _, w := range sample {
 		if !c.takesTasks(now, w) || w.identity.Service != service {
 			continue
 		}
-		out = append(out, candidate{w: w, free: w.usable(now), fresh: w.fresh(now), factor: w.timeFactor(), jitter: c.random.Float64() * maxJitter})
+		out = append(out, c.newCandidate(now, w))
 		slow = append(slow, w.slowness())
 	}
 	slices.Sort(slow)
@@ -43,6 +42,48 @@
 	return out
 }
 
+func (c *Core) newCandidate(now time.Time, w *worker) candidate {
+	return candidate{w: w, free: w.usable(now), fresh: w.fresh(now), factor: w.timeFactor(), jitter: c.random.Float64() * maxJitter}
+}
+
+const (
+	// completeLookInterval is how often all workers are looked at for tasks of one need, if the sample of
+	// a round has none for them: a label or a size may be that of a single worker.
+	completeLookInterval = 50 * time.Millisecond
+	// maxAdded is the number of workers that one such look adds to the candidates.
+	maxAdded = 4
+)
+
+// addCandidates looks at the workers that are not in the round's sample, and adds some that can start the
+// task. It returns whether there are any.
+func (c *Core) addCandidates(now time.Time, r *round, t *task) bool {
+	if !r.partial || now.Sub(t.group.lookedAt) < completeLookInterval {
+		return false
+	}
+	t.group.lookedAt = now
+	added := 0
+	for _, w := range c.eligible {
+		if added == maxAdded {
+			break
+		}
+		if w.identity.Service != r.service || !t.step.Need.Fits(w.identity.Capacity) || !c.takesTasks(now, w) || r.has(w) {
+			continue
+		}
+		cand := c.newCandidate(now, w)
+		cand.ejected = c.ejected(now, w)
+		if t.canStart(&cand) && !r.isLeft(&cand) {
+			r.workers = append(r.workers, cand)
+			added++
+		}
+	}
+	return added > 0
+}
+
+// has returns whether the worker is among the candidates.
+func (r *round) has(w *worker) bool {
+	return slices.ContainsFunc(r.workers, func(cand candidate) bool { return cand.w == w })
+}
+
 // takesTasks returns whether the worker is connected, has sent a status within Settings.Suspect, and
 // reports that it takes tasks.
 func (c *Core) takesTasks(now time.Time, w *worker) bool {
--- a/jobs/scheduler/capacityrequests.go
+++ b/jobs/scheduler/capacityrequests.go
@@ -187,7 +187,7 @@
 }
 
 // chooseWorkers decides which workers are asked: those that are asked already and still may be, then
-// preferred ones, then others at random.
+// preferred ones, then others at random, and some for each group that none of these can run.
 func (c *Core) chooseWorkers(now time.Time, rs *capacityRequests, service string, groups []waitingGroup) {
 	rs.workers = slices.DeleteFunc(rs.workers, func(w *worker) bool {
 		may := c.mayRequest(now, w, service, groups)
@@ -203,6 +203,11 @@
 	if more := wanted - len(rs.workers); more > 0 {
 		rs.workers = append(rs.workers, c.moreWorkers(now, rs, service, groups, more)...)
 	}
+	for i := range groups {
+		if !slices.ContainsFunc(rs.workers, func(w *worker) bool { return w.canServe(groups[i]) }) {
+			rs.workers = append(rs.workers, c.moreWorkers(now, rs, service, groups[i:i+1], groups[i].workersWanted())...)
+		}
+	}
 }
 
 // moreWorkers returns up to n workers that may be asked and are not asked yet.
@@ -229,15 +234,15 @@
 		!c.ejected(now, w) && slices.ContainsFunc(groups, w.canServe)
 }
 
-// distribute returns, by worker, the groups that the request to it lists. A group is listed in at most
-// workersWanted requests: if more workers granted capacity at once, all but a few grants would go
-// unused.
+// distribute returns, by worker, the groups that the request to it lists: at most wire.MaxWaits, those with
+// the earliest virtual deadlines. A group is listed in at most workersWanted requests: if more workers
+// granted capacity at once, all but a few grants would go unused.
 func (rs *capacityRequests) distribute(groups []waitingGroup) map[*worker][]waitingGroup {
 	shares := make(map[*worker][]waitingGroup, len(rs.workers))
 	for _, g := range groups {
 		var may []*worker
 		for _, w := range rs.workers {
-			if w.canServe(g) {
+			if len(shares[w]) < wire.MaxWaits && w.canServe(g) {
 				may = append(may, w)
 			}
 		}
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -1,16 +1,19 @@
 package scheduler
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/lichenfall/lichenfall/lib/ordered"
 	"github.com/lichenfall/lichenfall/wire"
 )
 
-// lookAhead is the number of tasks that fit on no worker after which dispatch leaves the rest of the
-// queue alone. As many more may be held for faster workers.
-const lookAhead = 24
+const (
+	// maxLooks is the number of different needs that no worker is found for, after which a round of
+	// dispatch leaves the order of the queue. It looks at as many of the needs that are left, in turn.
+	maxLooks = 128
+	// maxHeld is the number of tasks that a round may hold for faster workers.
+	maxHeld = 24
+)
 
 // dispatch sends ready tasks to workers with free capacity, and requests capacity for the tasks that
 // are left.
@@ -26,7 +29,12 @@
 		}
 		q.moveOverdue(now)
 		r := c.newRound(now, service)
-		if !c.dispatchHeap(now, &q.onTime, r, orders) || !c.dispatchHeap(now, &q.overdue, r, orders) {
+		c.dispatchQueue(now, q.onTime, r, orders)
+		if q.overdue.Len() > 0 {
+			r.leaveToWaiting()
+			c.dispatchQueue(now, q.overdue, r, orders)
+		}
+		if q.Len() > 0 {
 			c.demandOf(service).recordShortage(now)
 		}
 	}
@@ -45,34 +53,77 @@
 	}
 }
 
-// dispatchHeap takes tasks off the heap one by one, orders a run of each that can be placed now, and
-// returns whether none is left.
-func (c *Core) dispatchHeap(now time.Time, q *taskHeap, r *round, orders map[*worker]*wire.StartRuns) bool {
-	var skipped, held []*task
-	for q.Len() > 0 && len(skipped) < lookAhead {
-		t := heap.Pop(q).(*task)
-		epoch, ok := c.epochOf(t.job)
-		if !ok {
-			skipped = append(skipped, t)
-			continue
+// dispatchQueue orders a run of each task that can be placed now, in the order of the queue. A task that
+// can't be placed keeps back those of the same need only.
+func (c *Core) dispatchQueue(now time.Time, q *taskQueue, r *round, orders map[*worker]*wire.StartRuns) {
+	p := &pass{c: c, now: now, queue: q, round: r, orders: orders}
+	r.looks = 0
+	for g := q.first(); g != nil && r.looks < maxLooks; g = q.first() {
+		p.dispatchFirst(g)
+	}
+	for _, g := range q.passedOver(min(maxLooks, q.order.Len())) {
+		for !g.aside && g.tasks.Len() > 0 {
+			p.dispatchFirst(g)
 		}
-		e := c.evaluatorFor(now, t, r)
-		cand := c.choose(&e, r.workers)
-		switch {
-		case cand == nil:
-			skipped = append(skipped, t)
-		case len(held) < lookAhead && c.shouldHold(r, &e, cand):
-			held = append(held, t)
-		default:
-			c.orderRun(now, epoch, &e, cand, orders)
+	}
+	q.restore(p.aside)
+	for _, t := range p.held {
+		c.queue(now, t)
+	}
+}
+
+// pass is one pass of dispatch over a queue.
+type pass struct {
+	c      *Core
+	now    time.Time
+	queue  *taskQueue
+	round  *round
+	orders map[*worker]*wire.StartRuns
+	aside  []*taskGroup // groups whose tasks can't be placed now
+	held   []*task      // tasks that wait for faster workers
+}
+
+// dispatchFirst orders a run of the group's first task, holds the task, or sets the group aside.
+func (p *pass) dispatchFirst(g *taskGroup) {
+	t := g.first()
+	epoch, ok := p.c.epochOf(t.job)
+	if !ok {
+		p.setAside(g)
+		return
+	}
+	e := p.c.evaluatorFor(p.now, t, p.round)
+	cand := p.place(&e)
+	switch {
+	case cand == nil:
+		p.setAside(g)
+	case len(p.held) < maxHeld && p.c.shouldHold(p.round, &e, cand):
+		p.queue.remove(t)
+		p.held = append(p.held, t)
+		p.round.waiting = append(p.round.waiting, t)
+	default:
+		p.queue.remove(t)
+		p.c.orderRun(p.now, epoch, &e, cand, p.orders)
+	}
+}
+
+// place returns the worker for the task; nil if none can start it now.
+func (p *pass) place(e *evaluator) *candidate {
+	if !p.round.knownUnplaced(&e.t.group.need) {
+		if cand := p.c.choose(e, p.round.workers); cand != nil {
+			return cand
 		}
+		p.round.recordUnplaced(e.t)
 	}
-	skipped = append(skipped, held...)
-	for _, t := range skipped {
-		t.sortKey = t.virtualDeadline() // its job may have begun by the order of another task
-		heap.Push(q, t)
+	if p.c.addCandidates(p.now, p.round, e.t) {
+		return p.c.choose(e, p.round.workers)
 	}
-	return len(skipped) == 0
+	p.round.waiting = append(p.round.waiting, e.t)
+	return nil
+}
+
+func (p *pass) setAside(g *taskGroup) {
+	p.queue.setAside(g)
+	p.aside = append(p.aside, g)
 }
 
 // epochOf returns the epoch under which the job's tasks may be ordered now, 0 for a best-effort job.
--- a/jobs/scheduler/forecast.go
+++ b/jobs/scheduler/forecast.go
@@ -9,17 +9,18 @@
 // supply is the capacity of the workers of a service, as far as this coordinator knows it.
 type supply struct {
 	candidates []candidate
-	cores      float64       // of the candidates, as coresOf counts them, in thousandths
-	reporting  int           // candidates that have lately reported the work which waits there for other coordinators
-	age        time.Duration // of the oldest of these reports
-	scale      float64       // number of eligible workers over maxCandidates; at least 1
-	sharers    float64       // number of coordinators that share the workers, with this one
-	freshOnly  bool          // capacity is requested, so only fresh statuses count
+	cores      float64                // of the candidates, as coresOf counts them, in thousandths
+	reporting  int                    // candidates that have lately reported the work which waits there for other coordinators
+	age        time.Duration          // of the oldest of these reports
+	scale      float64                // number of eligible workers over maxCandidates; at least 1
+	sharers    float64                // number of coordinators that share the workers, with this one
+	freshOnly  bool                   // capacity is requested, so only fresh statuses count
+	reaches    map[*taskGroup]float64 // results of reach
 }
 
 // supplyOf returns the capacity of the workers of the service.
 func (c *Core) supplyOf(now time.Time, service string) *supply {
-	s := &supply{candidates: c.candidates(now, service), scale: 1, sharers: max(1, c.sharers[service]), freshOnly: c.requesting(service)}
+	s := &supply{candidates: c.candidates(now, service, c.sample(service)), scale: 1, sharers: max(1, c.sharers[service]), freshOnly: c.requesting(service), reaches: make(map[*taskGroup]float64)}
 	for i := range s.candidates {
 		w := s.candidates[i].w
 		s.cores += c.coresOf(w)
@@ -34,6 +35,28 @@
 	return s
 }
 
+// reach returns the share of the cores that are of workers which can run the task, once they have free
+// capacity. The task's work delays others by that share only: they find the rest of the workers free, and
+// all of them if no worker can run the task.
+func (c *Core) reach(s *supply, t *task) float64 {
+	if r, known := s.reaches[t.group]; known {
+		return r
+	}
+	cores := 0.0
+	for i := range s.candidates {
+		cand := &s.candidates[i]
+		if t.step.Need.Fits(cand.w.identity.Capacity) && cand.w.hasLabel(t.step.Requires) {
+			cores += c.coresOf(cand.w)
+		}
+	}
+	r := 1.0
+	if cores < s.cores {
+		r = cores / s.cores
+	}
+	s.reaches[t.group] = r
+	return r
+}
+
 // evenShare returns this coordinator's even share of the cores, in thousandths.
 func (s *supply) evenShare() float64 { return s.cores * s.scale / s.sharers }
 
--- a/jobs/scheduler/giveup.go
+++ b/jobs/scheduler/giveup.go
@@ -63,7 +63,7 @@
 	if supplies[service] == nil {
 		supplies[service] = c.supplyOf(now, service)
 	}
-	return c.fitsNow(supplies[service], t, c.coresAhead(t))
+	return c.fitsNow(supplies[service], t, c.coresAhead(supplies[service], t))
 }
 
 // fitsNow returns whether there is free capacity for all tasks of the task's job that could begin at
@@ -81,10 +81,10 @@
 // coresAhead returns the thousandths of a core that the queued tasks on time of the same service need.
 // All of them precede an overdue task. The task is one of them itself until dispatch moves it to the
 // overdue ones.
-func (c *Core) coresAhead(t *task) float64 {
+func (c *Core) coresAhead(s *supply, t *task) float64 {
 	cores := 0.0
-	for _, o := range c.readyOf(t.job.sub.Queue.Service).onTime.tasks {
-		cores += float64(o.step.Need.CPU)
+	for o := range c.readyOf(t.job.sub.Queue.Service).onTime.all {
+		cores += float64(o.step.Need.CPU) * c.reach(s, o)
 	}
 	return cores
 }
@@ -153,8 +153,9 @@
 		if t.job.mayBeRefused() && t == t.job.firstReady() && !c.keepOrRefuse(now, s, t, work, cores) {
 			continue
 		}
-		work += t.work()
-		cores += float64(t.step.Need.CPU)
+		reach := c.reach(s, t)
+		work += t.work() * reach
+		cores += float64(t.step.Need.CPU) * reach
 	}
 }
 
@@ -175,7 +176,7 @@
 
 // inOrder returns the service's tasks on time, in the order of their virtual deadlines.
 func (c *Core) inOrder(service string) []*task {
-	tasks := slices.Clone(c.readyOf(service).onTime.tasks)
+	tasks := slices.Collect(c.readyOf(service).onTime.all)
 	slices.SortFunc(tasks, func(a, b *task) int {
 		if d := a.virtualDeadline().Compare(b.virtualDeadline()); d != 0 {
 			return d
--- a/jobs/scheduler/order.go
+++ b/jobs/scheduler/order.go
@@ -48,9 +48,12 @@
 
 // isOverdue returns whether the task gets only the capacity that tasks on time leave free. The
 // tasks of a job that has begun are overdue only once the job's answer is of no use.
-func (t *task) isOverdue(now time.Time) bool {
+func (t *task) isOverdue(now time.Time) bool { return now.After(t.overdueAfter()) }
+
+// overdueAfter returns the time after which the task is overdue.
+func (t *task) overdueAfter() time.Time {
 	if t.job.begun() {
-		return now.After(t.job.uselessAt)
+		return t.job.uselessAt
 	}
-	return now.After(t.due)
+	return t.due
 }
--- a/jobs/scheduler/placement.go
+++ b/jobs/scheduler/placement.go
@@ -43,7 +43,13 @@
 // step's constraints allow it, the worker is not ejected as an outlier, and for a durable job the store
 // has confirmed, since the worker connected, that this coordinator owns the job.
 func (t *task) compatible(cand *candidate) bool {
-	return (cand.w.confirmed || t.job.sub.BestEffort) && cand.w.identity.Capacity.CPU > 0 && !cand.ejected && allowedOn(t, cand.w)
+	return t.mayUse(cand) && withinSpread(t, cand.w)
+}
+
+// mayUse returns whether a task of that need may be sent to the candidate once that has capacity,
+// wherever the step's other tasks are.
+func (t *task) mayUse(cand *candidate) bool {
+	return (cand.w.confirmed || t.job.sub.BestEffort) && cand.w.identity.Capacity.CPU > 0 && !cand.ejected && cand.w.hasLabel(t.step.Requires)
 }
 
 // share returns the share of the worker's cores that is free; it may be negative.
@@ -113,10 +119,15 @@
 
 // allowedOn returns whether the step's constraints allow the task on the worker: the label that the
 // step requires, and its limit on the number of its tasks on one worker.
-func allowedOn(t *task, w *worker) bool {
-	if t.step.Requires != "" && !slices.Contains(w.identity.Labels, t.step.Requires) {
-		return false
-	}
+func allowedOn(t *task, w *worker) bool { return w.hasLabel(t.step.Requires) && withinSpread(t, w) }
+
+// hasLabel returns whether the backend server has the label, if one is given.
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.identity.Labels, label)
+}
+
+// withinSpread returns whether one more task of the step may be on the worker.
+func withinSpread(t *task, w *worker) bool {
 	if t.step.AntiAffinity == 0 {
 		return true
 	}
--- a/jobs/scheduler/ready.go
+++ b/jobs/scheduler/ready.go
@@ -1,21 +1,17 @@
 package scheduler
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // readyQueue holds the tasks of one service that wait for a worker.
 type readyQueue struct {
-	onTime  taskHeap // tasks that can still begin by their due time
-	overdue taskHeap // tasks that cannot; they get the capacity that the others leave free
+	onTime  *taskQueue // tasks that can still begin by their due time
+	overdue *taskQueue // tasks that cannot; they get the capacity that the others leave free
+	// overdueFrom is not after the time at which the next task on time becomes overdue.
+	overdueFrom time.Time
 }
 
 func newReadyQueue() *readyQueue {
-	return &readyQueue{
-		onTime:  taskHeap{before: onTimeBefore},
-		overdue: taskHeap{before: overdueBefore},
-	}
+	return &readyQueue{onTime: newTaskQueue(onTimeBefore), overdue: newTaskQueue(overdueBefore)}
 }
 
 // onTimeBefore orders tasks by their virtual deadlines. Those of a job that has begun share one; of
@@ -38,25 +34,36 @@
 
 func (q *readyQueue) Len() int { return q.onTime.Len() + q.overdue.Len() }
 
-func (q *readyQueue) push(now time.Time, t *task) {
+func (q *readyQueue) push(now time.Time, t *task, n need) {
 	t.sortKey = t.virtualDeadline()
-	t.heap = &q.onTime
 	if t.isOverdue(now) {
-		t.heap = &q.overdue
+		q.overdue.push(t, n)
+		return
 	}
-	heap.Push(t.heap, t)
+	if from := t.overdueAfter(); q.onTime.Len() == 0 || from.Before(q.overdueFrom) {
+		q.overdueFrom = from
+	}
+	q.onTime.push(t, n)
 }
 
-// moveOverdue moves tasks that have become overdue to the overdue heap.
+// moveOverdue moves tasks that have become overdue to the overdue ones.
 func (q *readyQueue) moveOverdue(now time.Time) {
-	for i := 0; i < q.onTime.Len(); {
-		t := q.onTime.tasks[i]
-		if !t.isOverdue(now) {
-			i++
-			continue
+	if q.onTime.Len() == 0 || !now.After(q.overdueFrom) {
+		return
+	}
+	var overdue []*task
+	first := true
+	for t := range q.onTime.all {
+		if t.isOverdue(now) {
+			overdue = append(overdue, t)
+		} else if from := t.overdueAfter(); first || from.Before(q.overdueFrom) {
+			q.overdueFrom, first = from, false
 		}
-		heap.Remove(&q.onTime, i)
-		q.push(now, t)
+	}
+	for _, t := range overdue {
+		n := t.group.need
+		q.onTime.remove(t)
+		q.push(now, t, n)
 	}
 }
 
@@ -78,7 +85,7 @@
 	}
 	j.assigned, j.ran = assigned, ran
 	for _, t := range queued {
-		c.readyOf(j.sub.Queue.Service).push(now, t)
+		c.queue(now, t)
 	}
 }
 
@@ -112,7 +119,12 @@
 		return
 	}
 	t.state = taskReady
-	c.readyOf(t.job.sub.Queue.Service).push(now, t)
+	c.queue(now, t)
+}
+
+// queue adds the task to the queue of its service.
+func (c *Core) queue(now time.Time, t *task) {
+	c.readyOf(t.job.sub.Queue.Service).push(now, t, c.needOf(t))
 }
 
 func (c *Core) readyOf(service string) *readyQueue {
@@ -128,6 +140,6 @@
 func (c *Core) unqueue(t *task) {
 	delete(c.suspended, t)
 	if t.position >= 0 {
-		heap.Remove(t.heap, t.position)
+		t.group.queue.remove(t)
 	}
 }
--- a/jobs/scheduler/task.go
+++ b/jobs/scheduler/task.go
@@ -26,22 +26,22 @@
 	id         durable.TaskID
 	step       *durable.Step
 	state      taskState
-	starts     uint32    // number of runs ordered by this coordinator under the current epoch
-	run        uint32    // number of the latest run
-	failures   []uint32  // numbers of the runs that failed
-	crashes    crashes   // backend servers that crashed under it
-	silences   []silence // backend servers that fell silent under it and may have crashed
-	handedBack bool      // the worker handed the latest run back without starting it
-	straggles  int       // number of runs that were stopped as stragglers
-	avoid      []string  // addresses of workers where a run failed or straggled
-	worker     *worker   // that it is assigned to; else nil
-	startSeq   uint64    // StartRuns.Seq of the current run; 0 if ordered over an earlier connection
-	checkpoint string    // to resume from; empty if there is none
-	holdNoted  bool      // it has been logged that the task waits for a faster worker
-	due        time.Time // by when it has to begin for the job to be on time
-	sortKey    time.Time // virtual deadline at which it was queued
-	heap       *taskHeap // that it is in or was last in
-	position   int       // in heap; -1 if it is in none
+	starts     uint32     // number of runs ordered by this coordinator under the current epoch
+	run        uint32     // number of the latest run
+	failures   []uint32   // numbers of the runs that failed
+	crashes    crashes    // backend servers that crashed under it
+	silences   []silence  // backend servers that fell silent under it and may have crashed
+	handedBack bool       // the worker handed the latest run back without starting it
+	straggles  int        // number of runs that were stopped as stragglers
+	avoid      []string   // addresses of workers where a run failed or straggled
+	worker     *worker    // that it is assigned to; else nil
+	startSeq   uint64     // StartRuns.Seq of the current run; 0 if ordered over an earlier connection
+	checkpoint string     // to resume from; empty if there is none
+	holdNoted  bool       // it has been logged that the task waits for a faster worker
+	due        time.Time  // by when it has to begin for the job to be on time
+	sortKey    time.Time  // virtual deadline at which it was queued
+	group      *taskGroup // of tasks that it is queued with, or was last
+	position   int        // in group; -1 if it is not queued
 }
 
 // byTask orders tasks by job ID, and tasks of one job by number.
--- a/jobs/scheduler/waits.go
+++ b/jobs/scheduler/waits.go
@@ -38,19 +38,19 @@
 	return 2*n + int(milliCPU>>max(0, n-2)&1)
 }
 
-// groupsOf returns the groups of queued tasks that could be ordered with more capacity, the one with
-// the earliest virtual deadline first. Overdue tasks count only while no others are left.
+// groupsOf returns the groups of queued tasks that could be ordered with more capacity of known workers,
+// the one with the earliest virtual deadline first. Overdue tasks count only while no others are left.
 func (c *Core) groupsOf(q *readyQueue) []waitingGroup {
-	if groups := c.groupsOfHeap(&q.onTime, (*task).onTimeDeadline); len(groups) > 0 {
+	if groups := c.groupsIn(q.onTime, (*task).onTimeDeadline); len(groups) > 0 {
 		return groups
 	}
-	return c.groupsOfHeap(&q.overdue, (*task).overdueDeadline)
+	return c.groupsIn(q.overdue, (*task).overdueDeadline)
 }
 
-func (c *Core) groupsOfHeap(q *taskHeap, deadlineOf func(*task) time.Time) []waitingGroup {
+func (c *Core) groupsIn(q *taskQueue, deadlineOf func(*task) time.Time) []waitingGroup {
 	at := make(map[groupKey]int)
 	var out []waitingGroup
-	for _, t := range q.tasks {
+	for t := range q.all {
 		if _, ok := c.epochOf(t.job); !ok {
 			continue
 		}
@@ -63,8 +63,15 @@
 		}
 		out[i].add(t, deadlineOf(t))
 	}
+	out = slices.DeleteFunc(out, func(g waitingGroup) bool { return !c.canBeServed(&g) })
 	slices.SortFunc(out, func(a, b waitingGroup) int { return a.from.Compare(b.from) })
-	return out[:min(wire.MaxWaits, len(out))]
+	return out
+}
+
+// canBeServed returns whether any worker that tasks may go to can run the group.
+func (c *Core) canBeServed(g *waitingGroup) bool {
+	service := g.first.job.sub.Queue.Service
+	return slices.ContainsFunc(c.eligible, func(w *worker) bool { return w.identity.Service == service && w.canServe(*g) })
 }
 
 func (g *waitingGroup) add(t *task, deadline time.Time) {
