subset: widen the choice of workers for needs that it does not meet

Cause: the choice of workers goes by hashes of addresses and knows nothing of what waits; a shortage widened it to subset.size and no further. Ruled out: a choice by label, which leaves sizes, and looking at losses, which leaves kinds that have one executor from the beginning.

A round of dispatch now records the needs that no connected worker can meet, or that stay unmet for a second. It works since every worker that can meet a need has its turn, whatever the need is.

promises TestProgress is the general check that was missing: in worlds of several kinds, sizes and choices a job that could go on by the users' rule has something running within 3 s.

The core subset may import durable and ordered now, for the sizes of needs: layout_test lists it.

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -28,6 +28,7 @@
 	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/jobs/store"
+	"github.com/lichenfall/lichenfall/jobs/subset"
 	"github.com/lichenfall/lichenfall/lib/clock"
 	"github.com/lichenfall/lichenfall/lib/logging"
 	"github.com/lichenfall/lichenfall/lib/loop"
@@ -70,6 +71,7 @@
 	announcedAt    time.Time                    // zero if the next one is due at once
 	countedAt      time.Time                    // when the announcement was last computed
 	chosenAt       time.Time                    // when chooseWorkers last ran
+	widening       subset.Widening              // workers that are chosen for rare needs
 	drainStartedAt time.Time                    // zero before a planned stop
 	leaving        bool                         // all partitions are released for a planned stop
 	failedJoins    int                          // consecutive failures
--- a/jobs/coordinator/members.go
+++ b/jobs/coordinator/members.go
@@ -101,6 +101,9 @@
 	// chooseInterval is how often the workers to connect to are chosen again. They are also chosen
 	// again when the registered processes change.
 	chooseInterval = time.Second
+	// unmetInterval is the least time between two choices that are made for tasks which no chosen worker
+	// can run.
+	unmetInterval = 100 * time.Millisecond
 	// workerUnreachableAfter is how long a worker without a connection still counts towards the
 	// number of chosen workers. It is longer than a restart takes.
 	workerUnreachableAfter = 2 * time.Second
@@ -117,6 +120,7 @@
 	workers := c.knownWorkers(now)
 	demand := c.workerDemand(now, workers)
 	chosen := subset.Choose(c.cfg.Subset.Core(), c.peers.Advertised(), c.ringCoordinators(now), workers, demand)
+	c.widenChoice(now, workers, chosen)
 	awaiting := c.core.AwaitingReports()
 	for _, w := range workers {
 		preferred, isChosen := chosen[w.Address]
@@ -149,10 +153,11 @@
 	return demand
 }
 
-// choiceDue returns whether the workers have to be chosen again: every chooseInterval, and as soon as
-// some task fits at none of the chosen workers.
+// choiceDue returns whether the workers have to be chosen again: every chooseInterval, as soon as
+// some task fits at none of the chosen workers, and soon after none of them can run some task at all.
 func (c *Coordinator) choiceDue(now time.Time) bool {
-	return now.Sub(c.chosenAt) >= chooseInterval || c.core.ShortageSince(c.chosenAt)
+	age := now.Sub(c.chosenAt)
+	return age >= chooseInterval || c.core.ShortageSince(c.chosenAt) || age >= unmetInterval && c.core.UnmetSince(c.chosenAt)
 }
 
 func preference(preferred, chosen bool) scheduler.Preference {
@@ -196,7 +201,7 @@
 		}
 		w := subset.Worker{Address: address}
 		if m.Backend != nil {
-			w.Service = m.Backend.Service
+			w.Service, w.Capacity, w.Labels = m.Backend.Service, m.Backend.Capacity, m.Backend.Labels
 		}
 		w.Evacuated = c.core.Evacuated(m.DataCentre)
 		if l := c.links[address]; l != nil && l.conn == nil {
--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -26,6 +26,7 @@
 	ended       []runtable.ListedEnd      // ends that no worker has acknowledged
 	lastEnd     uint64                    // number of the latest end
 	capacity    durable.Resources
+	labels      []string
 	former      []formerCapacity // capacities that it had before
 	failing     bool             // all runs that it starts fail
 	refusing    bool             // refuses orders to start
@@ -63,6 +64,16 @@
 	return b
 }
 
+// become gives the server the capacity and label of a kind.
+func (b *backendNode) become(k serverKind) {
+	if k.cores > 0 {
+		b.capacity.CPU = 1000 * k.cores
+	}
+	if k.label != "" {
+		b.labels = []string{k.label}
+	}
+}
+
 // restart begins a new incarnation, which has nothing of the former one.
 func (b *backendNode) restart() {
 	b.incarnation++
@@ -101,7 +112,7 @@
 	b.reports++
 	return runtable.Report{
 		Number:   b.reports,
-		Identity: runtable.Identity{Instance: b.instance(name), Born: b.bornAt(), Service: "s", Ready: true, Capacity: b.capacity},
+		Identity: runtable.Identity{Instance: b.instance(name), Born: b.bornAt(), Service: "s", Ready: true, Capacity: b.capacity, Labels: b.labels},
 	}
 }
 
--- a/jobs/promises/coordinator_test.go
+++ b/jobs/promises/coordinator_test.go
@@ -8,6 +8,7 @@
 	"github.com/lichenfall/lichenfall/jobs/ownership"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
 	"github.com/lichenfall/lichenfall/jobs/store"
+	"github.com/lichenfall/lichenfall/jobs/subset"
 	"github.com/lichenfall/lichenfall/lib/failure"
 	"github.com/lichenfall/lichenfall/lib/ordered"
 	"github.com/lichenfall/lichenfall/wire"
@@ -43,6 +44,9 @@
 	earlier    map[uint32][]durable.Term // terms of others that may last, by partition
 	lastTicket int
 	conns      map[string]*conn
+	chosen     map[string]bool // workers to connect to; nil for all
+	chosenAt   time.Time
+	widening   subset.Widening
 	dialing    map[string]bool
 	calls      map[scheduler.Call]*nodeCall
 	lastCall   scheduler.Call
@@ -68,7 +72,9 @@
 		if c != nil || !worker.alive || worker.paused || !n.w.reaches(n.name, worker.name) || !n.w.reaches(worker.name, n.name) {
 			continue
 		}
-		n.connect(worker)
+		if n.isChosen(worker.name) {
+			n.connect(worker)
+		}
 	}
 }
 
@@ -401,6 +407,7 @@
 	n.loading = make(map[uint32]takingOver)
 	n.earlier = make(map[uint32][]durable.Term)
 	n.conns = make(map[string]*conn)
+	n.chosen, n.chosenAt, n.widening = nil, time.Time{}, subset.Widening{}
 	n.dialing = make(map[string]bool)
 	n.calls = make(map[scheduler.Call]*nodeCall)
 	for _, worker := range n.w.workers {
@@ -425,6 +432,7 @@
 }
 
 func (n *coordinatorNode) tick() {
+	n.chooseWorkers()
 	n.dial()
 	n.updateSuspended()
 	n.endEarlierTerms()
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -38,6 +38,10 @@
 	// unguarded has backend servers start whatever they are ordered to. A start beyond the capacity
 	// of a server then violates a promise, and stops take time.
 	unguarded bool
+	// fleet describes the backend servers, one for each worker; nil for workerCount of the same kind.
+	fleet []serverKind
+	// subset limits how many workers a coordinator connects to; nil for all.
+	subset *config.Subset
 	// silentCrashes has the box of a backend server fail with it: calls to the server get no answer
 	// in place of a refused connection.
 	silentCrashes bool
@@ -69,6 +73,12 @@
 	counts          map[string]int // events by name, for the test's log
 }
 
+// serverKind describes a backend server; the zero value is that of most worlds.
+type serverKind struct {
+	label string
+	cores int64
+}
+
 // link is one direction between two processes.
 type link struct{ from, to string }
 
@@ -132,8 +142,13 @@
 	if w.evacuating {
 		w.after(tickInterval, w.recordTrouble)
 	}
-	for i := range workerCount {
-		w.workers = append(w.workers, newWorkerNode(w, fmt.Sprintf("w%d", i), w.dataCentreOf(i)))
+	if w.fleet == nil {
+		w.fleet = make([]serverKind, workerCount)
+	}
+	for i := range w.fleet {
+		n := newWorkerNode(w, fmt.Sprintf("w%d", i), w.dataCentreOf(i))
+		n.backend.become(w.fleet[i])
+		w.workers = append(w.workers, n)
 	}
 	for i := range coordinatorCount {
 		w.coordinators = append(w.coordinators, newCoordinatorNode(w, fmt.Sprintf("c%d", i)))
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -95,12 +95,14 @@
 	cand := p.place(&e)
 	switch {
 	case cand == nil:
+		p.c.recordStall(p.now, g)
 		p.setAside(g)
 	case len(p.held) < maxHeld && p.c.shouldHold(p.round, &e, cand):
 		p.queue.remove(t)
 		p.held = append(p.held, t)
 		p.round.waiting = append(p.round.waiting, t)
 	default:
+		g.stalledAt = time.Time{}
 		p.queue.remove(t)
 		p.c.orderRun(p.now, epoch, &e, cand, p.orders)
 	}
@@ -149,6 +151,7 @@
 		w.probedAt = now
 	}
 	t.nextRun(epoch)
+	w.orderedAt = now
 	c.assign(now, t, w)
 	t.startSeq = w.startSeq + 1
 	m := orders[w]
--- a/jobs/scheduler/scheduler.go
+++ b/jobs/scheduler/scheduler.go
@@ -78,6 +78,7 @@
 	demands    map[string]*demand           // by service
 	requests   map[string]*capacityRequests // for capacity, by service
 	servedAt   time.Time                    // last time at which some worker was taking tasks
+	unmetAt    time.Time                    // when a need was last found that no connected worker can meet
 
 	evacuations   routing.Evacuations  // last reading from the store
 	evacuationsAt time.Time            // when they were last read; zero before the first reading
--- a/jobs/scheduler/taskqueue.go
+++ b/jobs/scheduler/taskqueue.go
@@ -140,6 +140,9 @@
 	// lookedAt is when all workers of the service were last looked at for the group, and not only a
 	// sample of them.
 	lookedAt time.Time
+	// stalledAt is when a task of the group was first found no worker for, after the last one that was
+	// ordered; zero if one was ordered since.
+	stalledAt time.Time
 }
 
 // first returns the task that precedes the others.
--- a/jobs/scheduler/workers.go
+++ b/jobs/scheduler/workers.go
@@ -27,6 +27,7 @@
 	queried      []queriedRun // listed in the RunsQuery that has no reply yet
 	outlier      bool         // its runs are slow or fail, as it reports; it gets only probes
 	probedAt     time.Time    // when an outlier was last sent a task
+	orderedAt    time.Time    // when a run was last ordered there
 	request      capacityRequest
 	speed        knownSpeed // last reported baseline of a backend server's incarnation
 	// speedIgnored makes the worker count as being as fast as any other.
--- a/jobs/subset/subset.go
+++ b/jobs/subset/subset.go
@@ -1,6 +1,7 @@
 // Package subset decides which workers a coordinator keeps connections to. It owns no state: the
 // choice follows from the addresses alone, so that all coordinators that know the same processes
-// divide the workers consistently without exchanging messages. It does no I/O.
+// divide the workers consistently without exchanging messages. For tasks that no chosen worker can
+// start, Widening adds workers that can. It does no I/O.
 package subset
 
 import (
@@ -9,6 +10,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lichenfall/lichenfall/jobs/durable"
 )
 
 // Worker is a worker that a coordinator may connect to.
@@ -19,6 +22,8 @@
 	// Evacuated workers take no tasks. They keep their connections, over which coordinators
 	// notify them of the end of the evacuation.
 	Evacuated bool
+	Capacity  durable.Resources // of its backend server, as last registered
+	Labels    []string          // of its backend server, as last registered
 }
 
 // Settings limit how many workers one coordinator connects to.
--- a/layout_test.go
+++ b/layout_test.go
@@ -27,7 +27,7 @@
 	"jobs/routing":   {"jobs/durable"},
 	"jobs/store":     {"jobs/durable", "jobs/routing"},
 	"jobs/ownership": {"jobs/store"},
-	"jobs/subset":    {},
+	"jobs/subset":    {"jobs/durable", "lib/ordered"},
 	"jobs/speed":     {},
 	"jobs/dedup":     {"jobs/durable"},
 	"jobs/claims":    {"jobs/durable", "lib/ordered", "wire"},
