--- a/jobs/routing/routing.go
+++ b/jobs/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/lichenfall/lichenfall/jobs/durable"
@@ -43,6 +44,17 @@
 	return rule, path[len(rule.Prefix):]
 }
 
+// Services returns the services to which the rules send requests.
+func (c *Configuration) Services() []string {
+	var out []string
+	for i := range c.Rules {
+		if name := c.Rules[i].Queue.Service; !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 func withoutPort(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		return host[:i]
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -11,6 +11,8 @@
 	BackendSilent       Decision = "backend_silent"        // it does not answer: no new runs, no renewals
 	BackendAnswers      Decision = "backend_answers"       // it answers again
 	ReportLate          Decision = "report_late"           // of a past incarnation, or older than the last one
+	ReportOther         Decision = "report_other"          // names another service than the backend server's: by another writer
+	ServiceCorrected    Decision = "service_corrected"     // the configuration names the other service, and not the one before
 	OwnerLeaseEnded     Decision = "owner_lease_ended"     // no heartbeat in time: the owner's runs are stopped
 	LeaseLapsing        Decision = "lease_lapsing"         // no renewals until the backend server has ended all
 	LeaseLapsed         Decision = "lease_lapsed"          // all runs are certainly over
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -59,7 +59,7 @@
 func (t *Table) Identify(now time.Time, id Identity) {
 	if id.Incarnation() != t.identity.Incarnation() {
 		t.supersede(t.identity.Incarnation())
-		t.reportNumber = 0
+		t.reportsSeen, t.noMoreReports, t.others = reportNumbers{}, false, nil
 		if t.hasIdentity {
 			t.replacedBy(now, id.Incarnation(), "new_instance")
 		}
--- a/jobs/runtable/reports.go
+++ b/jobs/runtable/reports.go
@@ -1,7 +1,6 @@
 package runtable
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -23,10 +22,6 @@
 // crashes than that is not expected; its only cost would be another probe.
 const maxSuperseded = 16
 
-// noMoreReports is a report number above all others: with it, no report of the incarnation
-// counts any more.
-const noMoreReports = math.MaxUint64
-
 // Reported handles a report. A report of the incarnation in force counts unless a later one has
 // arrived. A report of any other incarnation counts only once the backend server has answered a
 // probe for that incarnation that was sent after the report arrived. A delayed report of a
@@ -45,13 +40,15 @@
 
 // currentReported handles a report of the incarnation in force.
 func (t *Table) currentReported(now time.Time, r Report) {
-	if r.Number != 0 && r.Number <= t.reportNumber {
+	switch {
+	case t.identity.Service != "" && r.Service != t.identity.Service:
+		t.otherService(now, r)
+	case t.noMoreReports || !t.reportsSeen.accept(now, r.Number):
 		t.noteFrequent(ReportLate, wire.RunRef{}, reasonOvertaken)
-		return
+	default:
+		t.coldUntil = now.Add(r.Cold)
+		t.Identify(now, r.Identity)
 	}
-	t.reportNumber = r.Number
-	t.coldUntil = now.Add(r.Cold)
-	t.Identify(now, r.Identity)
 }
 
 // addCandidate keeps the newest report of an incarnation that is not in force.
@@ -89,7 +86,7 @@
 	case RenewOK, RenewFenced:
 		c := t.removeCandidate(call.Incarnation())
 		t.Identify(now, c.Identity)
-		t.reportNumber = c.Number
+		t.reportsSeen = reportNumbers{newest: c.Number}
 		t.coldUntil = now.Add(c.Cold)
 	case RenewWrongIncarnation, RenewRestarted:
 		t.removeCandidate(call.Incarnation())
@@ -117,7 +114,7 @@
 		t.noteFrequent(ReportLate, wire.RunRef{}, reasonIncarnationOver)
 		return
 	}
-	t.reportNumber = noMoreReports
+	t.noMoreReports = true
 	id := t.identity
 	id.Ready = false
 	t.Identify(now, id)
--- a/jobs/runtable/runtable.go
+++ b/jobs/runtable/runtable.go
@@ -71,17 +71,23 @@
 
 	identity    Identity
 	hasIdentity bool // an incarnation is in force, described by identity
-	// reportNumber is the number of the newest report of the incarnation in force.
-	reportNumber uint64
-	coldUntil    time.Time     // the backend server has announced that it is slow until then
-	superseded   []Incarnation // incarnations that are over, the latest last
-	candidates   []Report      // reports of incarnations that may be in force, in order of arrival
-	probing      Incarnation   // the incarnation that is being probed; zero if none is
-	token        uint64        // fencing token; 0 until the backend server's clock is known
-	clock        time.Duration // the backend server's clock, as of clockAt
-	clockAt      time.Time
-	synced       bool // the list of runs has been read under our token
-	syncedAt     time.Time
+	// reportsSeen tracks the numbers of the reports of the incarnation in force.
+	reportsSeen   reportNumbers
+	noMoreReports bool // the incarnation in force has announced its end
+	// others holds reports that name the incarnation in force and other services, the newest of each.
+	others []Report
+	// services are those that the operators' configuration names, as last read; nil before.
+	services        []string
+	servicesAskedAt time.Time     // when Effects.Services was last set
+	coldUntil       time.Time     // the backend server has announced that it is slow until then
+	superseded      []Incarnation // incarnations that are over, the latest last
+	candidates      []Report      // reports of incarnations that may be in force, in order of arrival
+	probing         Incarnation   // the incarnation that is being probed; zero if none is
+	token           uint64        // fencing token; 0 until the backend server's clock is known
+	clock           time.Duration // the backend server's clock, as of clockAt
+	clockAt         time.Time
+	synced          bool // the list of runs has been read under our token
+	syncedAt        time.Time
 	// complete says that a whole list has been read under our token: runs and ends have all that
 	// earlier processes of this worker left.
 	complete bool
@@ -148,6 +154,8 @@
 	Notes  []Note
 	Renew  bool       // call NextRenewal soon
 	Probe  *RenewCall // to be made, its answer to be passed to ProbeAnswered; nil if there is none
+	// Services asks for the services that the operators' configuration names, for SetServices.
+	Services bool
 }
 
 // New returns an empty table; now is the start of the process.
--- a/jobs/runtable/silence.go
+++ b/jobs/runtable/silence.go
@@ -35,7 +35,7 @@
 // given up until the backend server reports again.
 func (t *Table) connectionRefused(now time.Time) {
 	t.refusedAt = now
-	if len(t.runs) == 0 || t.reportNumber == noMoreReports {
+	if len(t.runs) == 0 || t.noMoreReports {
 		t.giveUpIncarnation(now, reasonRefused)
 		return
 	}
--- a/jobs/worker/operators.go
+++ b/jobs/worker/operators.go
@@ -46,3 +46,25 @@
 		w.store.WatchOperators(ctx, operatorsRetryPause, func(u routing.OperatorUpdate) { w.loop.Post(evacuationsRead{u.Evacuations}) })
 	}()
 }
+
+// servicesLimit bounds one reading of the configuration for its services.
+const servicesLimit = 2 * time.Second
+
+// servicesRead holds the services that the operators' configuration names.
+type servicesRead struct{ names []string }
+
+func (e servicesRead) apply(w *Worker, now time.Time) {
+	w.trackIdentity(func() { w.table.SetServices(now, e.names) })
+}
+
+// readServices reads once which services the operators' configuration names.
+func (w *Worker) readServices() {
+	ctx, stop := context.WithTimeout(w.ctx, servicesLimit)
+	defer stop()
+	w.store.WatchOperators(ctx, operatorsRetryPause, func(u routing.OperatorUpdate) {
+		if u.Configuration != nil {
+			w.loop.Post(servicesRead{u.Configuration.Services()})
+		}
+		stop()
+	})
+}
--- a/jobs/worker/perform.go
+++ b/jobs/worker/perform.go
@@ -27,6 +27,9 @@
 	if e.Probe != nil {
 		go w.probe(*e.Probe)
 	}
+	if e.Services {
+		go w.readServices()
+	}
 	if e.Renew {
 		w.renewSoon()
 	}
