--- a/jobs/scheduler/capacityrequests.go
+++ b/jobs/scheduler/capacityrequests.go
@@ -110,7 +110,7 @@
 
 // requestCapacity requests capacity for the tasks of a service that dispatch could not order, and
 // withdraws the requests once none are left.
-func (c *Core) requestCapacity(now time.Time, service string, q *readyQueue, orders map[*worker]*wire.StartRuns) {
+func (c *Core) requestCapacity(now time.Time, service string, q *readyQueue, orders map[*worker]*orderList) {
 	rs := c.requestsOf(service)
 	unused := c.takeReported(rs, orders)
 	due := now.Sub(rs.at) >= minRequestGap
@@ -138,7 +138,7 @@
 // takeReported clears the list of workers that have reported requested capacity, and returns those
 // that got no order. Those with an order need no other message: it acknowledges the status (Seen),
 // after which the worker grants the rest of the capacity to others.
-func (c *Core) takeReported(rs *capacityRequests, orders map[*worker]*wire.StartRuns) (unused []*worker) {
+func (c *Core) takeReported(rs *capacityRequests, orders map[*worker]*orderList) (unused []*worker) {
 	for _, w := range rs.reported {
 		if !w.request.reported {
 			continue // it has reconnected, or its backend server has a new incarnation
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -21,7 +21,7 @@
 	if !c.evacuationsKnown() {
 		return
 	}
-	orders := make(map[*worker]*wire.StartRuns)
+	orders := make(map[*worker]*orderList)
 	for _, service := range ordered.Keys(c.ready) {
 		q := c.ready[service]
 		if q.Len() == 0 {
@@ -39,12 +39,13 @@
 		}
 	}
 	for _, w := range ordered.KeysFunc(orders, byName) {
-		m := orders[w]
-		w.startSeq++
-		m.Seq = w.startSeq
 		w.request.seenStamp = w.status.Stamp
-		m.Seen = w.request.seenStamp
-		c.send(w.name, m)
+		for _, m := range orders[w].messages {
+			w.startSeq++
+			m.Seq = w.startSeq
+			m.Seen = w.request.seenStamp
+			c.send(w.name, m)
+		}
 	}
 	if c.cfg.Load.AskForRoom {
 		for _, service := range ordered.Keys(c.ready) {
@@ -55,7 +56,7 @@
 
 // dispatchQueue orders a run of each task that can be placed now, in the order of the queue. A task that
 // can't be placed keeps back those of the same need only.
-func (c *Core) dispatchQueue(now time.Time, q *taskQueue, r *round, orders map[*worker]*wire.StartRuns) {
+func (c *Core) dispatchQueue(now time.Time, q *taskQueue, r *round, orders map[*worker]*orderList) {
 	p := &pass{c: c, now: now, queue: q, round: r, orders: orders}
 	r.looks = 0
 	for g := q.first(); g != nil && r.looks < maxLooks; g = q.first() {
@@ -78,7 +79,7 @@
 	now    time.Time
 	queue  *taskQueue
 	round  *round
-	orders map[*worker]*wire.StartRuns
+	orders map[*worker]*orderList
 	aside  []*taskGroup // groups whose tasks can't be placed now
 	held   []*task      // tasks that wait for faster workers
 }
@@ -144,7 +145,7 @@
 
 // orderRun adds a run of the task to the orders for the candidate's worker. On an outlier the run is
 // its probe.
-func (c *Core) orderRun(now time.Time, epoch uint64, e *evaluator, cand *candidate, orders map[*worker]*wire.StartRuns) {
+func (c *Core) orderRun(now time.Time, epoch uint64, e *evaluator, cand *candidate, orders map[*worker]*orderList) {
 	t, w := e.t, cand.w
 	cand.free = cand.free.Sub(t.step.Need)
 	if w.outlier {
@@ -153,13 +154,10 @@
 	t.nextRun(epoch)
 	w.orderedAt = now
 	c.assign(now, t, w)
-	t.startSeq = w.startSeq + 1
-	m := orders[w]
-	if m == nil {
-		m = &wire.StartRuns{}
-		orders[w] = m
+	if orders[w] == nil {
+		orders[w] = &orderList{}
 	}
-	m.Runs = append(m.Runs, wire.RunOrder{
+	t.startSeq = w.startSeq + orders[w].add(wire.RunOrder{
 		Ref:        t.ref(),
 		Epoch:      epoch,
 		BestEffort: t.job.sub.BestEffort,
