coordinator: cancel best-effort jobs, wherever the cancel arrives

Cause: a cancel was looked up among durable jobs alone, at the owner of the partition. Ruled out: runs that are not stopped after a cancel.

Whoever has the job cancels it. A cancel that finds neither a best-effort job here nor a durable one is passed to the other coordinators, and 410 is said only once all have answered that they don't have the job. It works since a best-effort job is at one of them, or its runs have ended.

--- a/jobs/coordinator/calls.go
+++ b/jobs/coordinator/calls.go
@@ -26,6 +26,8 @@
 	seq         uint64               // of that coordinator, on conn
 	number      uint64               // unique in this process
 	forwardedTo string               // address of the coordinator that it was forwarded to
+	search      *search              // of the best-effort job that it cancels; nil before
+	parent      *call                // whose search it is part of; else nil
 }
 
 // Submit submits a job and returns the reply once the store has it, for a best-effort job once it
@@ -40,7 +42,8 @@
 	return c.do(ctx, &call{kind: wire.CallState, id: id})
 }
 
-// Cancel cancels a durable job, and returns once the store has that.
+// Cancel cancels a job, and returns once the store has that. For a best-effort job, it returns once the
+// coordinator that has the job starts nothing of it any more.
 func (c *Coordinator) Cancel(ctx context.Context, id durable.JobID) scheduler.Reply {
 	return c.do(ctx, &call{kind: wire.CallCancel, id: id})
 }
@@ -79,6 +82,10 @@
 		c.handleBestEffort(now, cl)
 		return
 	}
+	if cl.kind == wire.CallCancelBestEffort || cl.kind == wire.CallCancel && c.hasBestEffort(cl.id) {
+		c.cancelBestEffort(now, cl)
+		return
+	}
 	if c.core.Owns(cl.id) {
 		c.passToCore(now, cl)
 		return
@@ -199,7 +206,14 @@
 // reply sends a reply to a caller of ours, or to the coordinator that forwarded the call. If that
 // coordinator has gone, the caller sends the call again.
 func (c *Coordinator) reply(cl *call, r scheduler.Reply) {
-	if cl.conn == nil {
+	switch {
+	case cl.parent != nil:
+		c.searched(cl, r)
+		return
+	case cl.cancelsUnknown(r):
+		c.searchBestEffort(cl, r)
+		return
+	case cl.conn == nil:
 		cl.answer <- r
 		return
 	}
--- a/jobs/scheduler/besteffort.go
+++ b/jobs/scheduler/besteffort.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// CancelBestEffort cancels a best-effort job that is here, and answers its callers.
+func (c *Core) CancelBestEffort(now time.Time, call Call, id durable.JobID) {
+	j := c.bestEffort[id]
+	if j == nil {
+		c.fail(call, id, failure.JobNotFound)
+		return
+	}
+	c.finish(now, j, durable.Cancelled, "cancelled")
+	c.reply(Reply{Call: call, ID: id, State: durable.Cancelled})
+}
+
 // SetEarliestSent records that the caller may have sent the best-effort job as early as the
 // given time. The earliest such time is kept.
 func (c *Core) SetEarliestSent(id durable.JobID, earliest time.Time) {
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -246,9 +246,11 @@
 	CallSubmit CallKind = 1
 	CallState  CallKind = 2
 	CallCancel CallKind = 3
+	// CallCancelBestEffort asks a coordinator to cancel a best-effort job that its callers wait for there.
+	CallCancelBestEffort CallKind = 4
 )
 
-// JobCall forwards a caller's request to the coordinator that owns the job's partition.
+// JobCall forwards a caller's request to the coordinator that owns the job's partition, or has the job.
 type JobCall struct {
 	Seq        uint64
 	Kind       uint8 // a CallKind
