coordinator: look at the lease on partitions before each event

After a stall of the control goroutine the events that had queued were applied before the tick that suspends partitions whose lease is over. A first status among them is answered with a heartbeat, which renewed the leases of runs at that worker by its present stamp, up to the length of the stall after the term's end: the bound that an earlier owner's successor counts by (design 0015) did not hold.

Ruled out: heartbeats that were queued before the stall, since they echo stamps from before it.

The lease is now checked before each event and before effects are performed; partitions are gone through only when the result changes.

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -51,6 +51,7 @@
 	// Owned by the control goroutine.
 	core           *scheduler.Core
 	owned          *ownership.Table
+	leaseValid     bool                         // as checkLease last found it
 	terms          map[ownership.Term]*term     // that last, by what identifies them
 	earlierTerms   map[uint32][]durable.Term    // of others that may last, by partition of ours
 	endedTerms     map[uint32]uint64            // by partition: epoch of the newest term that another coordinator has ended
--- a/jobs/coordinator/events.go
+++ b/jobs/coordinator/events.go
@@ -16,7 +16,12 @@
 	apply(c *Coordinator, now time.Time)
 }
 
-func (c *Coordinator) handle(now time.Time, e event) { e.apply(c, now) }
+// handle applies an event. The lease on our partitions may have ended since the last one: after a stall the
+// events that have queued come before the next tick.
+func (c *Coordinator) handle(now time.Time, e event) {
+	c.checkLease(now)
+	e.apply(c, now)
+}
 
 // joined is the result of a join of the group of owners.
 type joined struct {
--- a/jobs/coordinator/group.go
+++ b/jobs/coordinator/group.go
@@ -52,6 +52,10 @@
 // checkLease suspends the work on our partitions while the lease on them may have expired.
 func (c *Coordinator) checkLease(now time.Time) {
 	valid := c.owned.Valid(now)
+	if valid == c.leaseValid {
+		return
+	}
+	c.leaseValid = valid
 	for id := range c.terms {
 		c.core.Suspend(now, id.Partition, !valid)
 	}
--- a/jobs/coordinator/perform.go
+++ b/jobs/coordinator/perform.go
@@ -28,6 +28,7 @@
 
 // perform carries out the effects that the core has decided on.
 func (c *Coordinator) perform(now time.Time) {
+	c.checkLease(now)
 	c.performClaims(now)
 	e := c.core.Take(now)
 	for _, commit := range e.Commits {
