scheduler: use one heap for tasks and for groups of them

Two heaps had the same code but for the type of their items. Both are itemHeap now. The queue has tests of its own: any order of additions, removals and groups set aside against a plain search, and the turn of groups that a round passes over.

--- a/jobs/scheduler/heap.go
+++ b/jobs/scheduler/heap.go
@@ -1,65 +1,42 @@
 package scheduler
 
-// taskHeap is a heap of tasks in the order of before. It implements heap.Interface.
-type taskHeap struct {
-	tasks  []*task
-	before func(a, b *task) bool
-}
-
-func (h *taskHeap) Len() int { return len(h.tasks) }
-
-func (h *taskHeap) Less(i, k int) bool { return h.before(h.tasks[i], h.tasks[k]) }
+// positioned is an item that knows its position in the heap that it is in; -1 if it is in none.
+type positioned interface{ setPosition(at int) }
 
-func (h *taskHeap) Swap(i, k int) {
-	h.tasks[i], h.tasks[k] = h.tasks[k], h.tasks[i]
-	h.tasks[i].position, h.tasks[k].position = i, k
+// itemHeap is a heap of items in the order of before. It implements heap.Interface.
+type itemHeap[T positioned] struct {
+	items  []T
+	before func(a, b T) bool
 }
 
-// Push appends a task; only container/heap calls it.
-func (h *taskHeap) Push(x any) {
-	t := x.(*task)
-	t.position = len(h.tasks)
-	h.tasks = append(h.tasks, t)
-}
+func (h *itemHeap[T]) Len() int { return len(h.items) }
 
-// Pop removes the last task; only container/heap calls it.
-func (h *taskHeap) Pop() any {
-	last := len(h.tasks) - 1
-	t := h.tasks[last]
-	h.tasks[last] = nil
-	h.tasks = h.tasks[:last]
-	t.position = -1
-	return t
-}
+func (h *itemHeap[T]) Less(i, k int) bool { return h.before(h.items[i], h.items[k]) }
 
-// groupHeap is a heap of groups in the order of their first tasks. It implements heap.Interface.
-type groupHeap struct {
-	groups []*taskGroup
-	before func(a, b *task) bool
+func (h *itemHeap[T]) Swap(i, k int) {
+	h.items[i], h.items[k] = h.items[k], h.items[i]
+	h.items[i].setPosition(i)
+	h.items[k].setPosition(k)
 }
 
-func (h *groupHeap) Len() int { return len(h.groups) }
-
-func (h *groupHeap) Less(i, k int) bool { return h.before(h.groups[i].first(), h.groups[k].first()) }
-
-func (h *groupHeap) Swap(i, k int) {
-	h.groups[i], h.groups[k] = h.groups[k], h.groups[i]
-	h.groups[i].position, h.groups[k].position = i, k
+// Push appends an item; only container/heap calls it.
+func (h *itemHeap[T]) Push(x any) {
+	item := x.(T)
+	item.setPosition(len(h.items))
+	h.items = append(h.items, item)
 }
 
-// Push appends a group; only container/heap calls it.
-func (h *groupHeap) Push(x any) {
-	g := x.(*taskGroup)
-	g.position = len(h.groups)
-	h.groups = append(h.groups, g)
+// Pop removes the last item; only container/heap calls it.
+func (h *itemHeap[T]) Pop() any {
+	last := len(h.items) - 1
+	item := h.items[last]
+	var none T
+	h.items[last] = none
+	h.items = h.items[:last]
+	item.setPosition(-1)
+	return item
 }
 
-// Pop removes the last group; only container/heap calls it.
-func (h *groupHeap) Pop() any {
-	last := len(h.groups) - 1
-	g := h.groups[last]
-	h.groups[last] = nil
-	h.groups = h.groups[:last]
-	g.position = -1
-	return g
-}
+func (t *task) setPosition(at int) { t.position = at }
+
+func (g *taskGroup) setPosition(at int) { g.position = at }
--- a/jobs/scheduler/taskqueue.go
+++ b/jobs/scheduler/taskqueue.go
@@ -10,14 +10,15 @@
 type taskQueue struct {
 	before func(a, b *task) bool
 	byNeed map[need]*taskGroup
-	groups []*taskGroup // all, in no particular order
-	order  groupHeap    // those that are not set aside
-	length int          // tasks in all groups
-	next   int          // index in groups at which taskQueue.passedOver goes on
+	groups []*taskGroup         // all, in no particular order
+	order  itemHeap[*taskGroup] // those that are not set aside, by their first tasks
+	length int                  // tasks in all groups
+	next   int                  // index in groups at which taskQueue.passedOver goes on
 }
 
 func newTaskQueue(before func(a, b *task) bool) *taskQueue {
-	return &taskQueue{before: before, byNeed: make(map[need]*taskGroup), order: groupHeap{before: before}}
+	byFirst := func(a, b *taskGroup) bool { return before(a.first(), b.first()) }
+	return &taskQueue{before: before, byNeed: make(map[need]*taskGroup), order: itemHeap[*taskGroup]{before: byFirst}}
 }
 
 // Len returns the number of tasks.
@@ -27,7 +28,7 @@
 func (q *taskQueue) push(t *task, n need) {
 	g := q.byNeed[n]
 	if g == nil {
-		g = &taskGroup{need: n, queue: q, tasks: taskHeap{before: q.before}, index: len(q.groups), position: -1}
+		g = &taskGroup{need: n, queue: q, tasks: itemHeap[*task]{before: q.before}, index: len(q.groups), position: -1}
 		q.byNeed[n] = g
 		q.groups = append(q.groups, g)
 	}
@@ -80,7 +81,7 @@
 	if q.order.Len() == 0 {
 		return nil
 	}
-	return q.order.groups[0]
+	return q.order.items[0]
 }
 
 // setAside takes a group out of the order until restore.
@@ -120,7 +121,7 @@
 // all yields all tasks, in no particular order.
 func (q *taskQueue) all(yield func(*task) bool) {
 	for _, g := range q.groups {
-		for _, t := range g.tasks.tasks {
+		for _, t := range g.tasks.items {
 			if !yield(t) {
 				return
 			}
@@ -133,7 +134,7 @@
 type taskGroup struct {
 	need     need
 	queue    *taskQueue
-	tasks    taskHeap
+	tasks    itemHeap[*task]
 	index    int  // in taskQueue.groups
 	position int  // in taskQueue.order; -1 if it is not there
 	aside    bool // out of the order until the end of the round
@@ -146,4 +147,4 @@
 }
 
 // first returns the task that precedes the others.
-func (g *taskGroup) first() *task { return g.tasks.tasks[0] }
+func (g *taskGroup) first() *task { return g.tasks.items[0] }
