coordinator: end no term that is later than ours

A coordinator that a later owner fences between its own fence and its reading read the later term's record too, took it for an earlier one and would have asked its owner to end it: a partition without an owner until the store deals anew.

Only terms with a lower epoch are earlier. TestLaterTermIsNotEnded fails without the change ("term 5 is to be ended by the owner of term 4").

--- a/jobs/coordinator/earlierterms.go
+++ b/jobs/coordinator/earlierterms.go
@@ -16,14 +16,25 @@
 // may not answer them, and they would send heartbeats until their leases are over. Those that can't be
 // reached are waited for by the core.
 
-// endEarlierTerms ends the earlier terms that the store names beside ours. A term of our own address has
-// ended: of this process, since a process has one term of a partition at a time; of a process before it,
-// since that is gone.
+// earlierThan returns the terms that are earlier than ours. A later owner may have fenced us between our
+// own fence and the reading; its term is not ours to end.
+func earlierThan(id ownership.Term, terms []durable.Term) []durable.Term {
+	var out []durable.Term
+	for _, t := range terms {
+		if t.Epoch < id.Epoch {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// endEarlierTerms ends the earlier terms that the store names. A term of our own address has ended: of
+// this process, since a process has one term of a partition at a time; of a process before it, since
+// that is gone.
 func (c *Coordinator) endEarlierTerms(now time.Time, id ownership.Term, terms []durable.Term) {
 	var others []durable.Term
 	for _, t := range terms {
 		switch {
-		case t.Epoch == id.Epoch:
 		case t.Address == c.peers.Advertised() || c.endedTerms[id.Partition] == t.Epoch:
 			c.core.EarlierTermEnded(now, id.Partition, t.Epoch)
 		default:
--- a/jobs/coordinator/earlierterms_test.go
+++ b/jobs/coordinator/earlierterms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,3 +81,43 @@
 type ownedRequested struct{ answer chan<- int }
 
 func (e ownedRequested) apply(c *Coordinator, _ time.Time) { e.answer <- len(c.core.Partitions()) }
+
+// askedFor asks which terms of others are to be ended.
+type askedFor struct{ answer chan<- []durable.Term }
+
+func (e askedFor) apply(c *Coordinator, _ time.Time) { e.answer <- slices.Clone(c.earlierTerms[0]) }
+
+// TestLaterTermIsNotEnded guards against a partition without an owner: a coordinator that a later owner has
+// fenced between its own fence and its reading took that owner's term for an earlier one, and would have had
+// it ended.
+func TestLaterTermIsNotEnded(t *testing.T) {
+	c := newTermCase(t)
+	readings := c.client.Hold(fakestore.CallNewest)
+	c.dealToOther("")
+	c.dealBack()
+	c.await("our reading", func() bool { return readings.Begun() == 1 })
+	c.client.Pass(fakestore.CallNewest)
+	records, err := c.client.Store.NewestRecords(context.Background(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	terms, _ := durable.SplitTerms(records)
+	ours := terms[len(terms)-1].Epoch
+	later := durable.Term{Epoch: ours + 1, Address: "127.0.0.1:1"}
+	if err := c.client.Store.Fence(context.Background(), 0, later.Epoch, durable.TermRecord(later)); err != nil {
+		t.Fatal(err)
+	}
+	readings.Arrive()
+	readings.Answer()
+	// The term lasts until its first append is refused.
+	var asked []durable.Term
+	c.await("terms to be ended", func() bool {
+		asked, _ = loop.Call(c.loop, func(answer chan<- []durable.Term) event { return askedFor{answer} })
+		return len(asked) > 0
+	})
+	for _, term := range asked {
+		if term.Epoch > ours {
+			t.Errorf("term %d is to be ended by the owner of term %d", term.Epoch, ours)
+		}
+	}
+}
--- a/jobs/coordinator/term.go
+++ b/jobs/coordinator/term.go
@@ -99,14 +99,13 @@
 	t := scheduler.Takeover{Partition: id.Partition, Epoch: id.Epoch, Jobs: e.jobs}
 	// An earlier owner's last join that the store granted was before it assigned the partition to us.
 	t.EarlierEndBy = e.assigned.Add(c.owned.TTL)
-	for _, term := range e.terms {
-		if term.Epoch != id.Epoch {
-			t.Earlier = append(t.Earlier, term.Epoch)
-		}
+	earlier := earlierThan(id, e.terms)
+	for _, term := range earlier {
+		t.Earlier = append(t.Earlier, term.Epoch)
 	}
 	c.core.Acquire(now, &t)
 	c.core.Suspend(now, id.Partition, !c.leaseValid)
-	c.endEarlierTerms(now, id, e.terms)
+	c.endEarlierTerms(now, id, earlier)
 	c.log.Info("partition_owned", zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch), zap.Int("jobs", len(e.jobs)), zap.Int("earlier_terms", len(t.Earlier)))
 	c.announcedAt = time.Time{}
 }
