durable: refuse a step that depends on more steps than a job may have

A list can't need more numbers than a job has steps, 256, so a longer one is refused before anything is stored.

TestJobThatCannotBeReadAgainIsRefused fails before ("it is accepted").

--- a/jobs/durable/check.go
+++ b/jobs/durable/check.go
@@ -62,6 +62,9 @@
 	case !inRange(s.EstimateMS):
 		return outOfRange(fieldEstimate, "0 or more milliseconds")
 	}
+	if len(s.DependsOn) > MaxSteps {
+		return outOfRange(fieldDependsOn, fmt.Sprintf("at most %d", MaxSteps))
+	}
 	for _, d := range s.DependsOn {
 		if int(d) >= i {
 			return outOfRange(fieldDependsOn, "numbers of earlier steps")
