coordinator: ask no one to end terms that have ended

Where a program of an earlier version takes an earlier owner's place, it closes the connection for a message that it does not know; asked again at each new connection, it would do so for as long as we own the partition.

TestExpiredTermsAreNotAskedFor.

--- a/jobs/coordinator/coordinator.go
+++ b/jobs/coordinator/coordinator.go
@@ -23,7 +23,6 @@
 	"github.com/lichenfall/lichenfall/config"
 	"github.com/lichenfall/lichenfall/jobs/claims"
 	"github.com/lichenfall/lichenfall/jobs/dedup"
-	"github.com/lichenfall/lichenfall/jobs/durable"
 	"github.com/lichenfall/lichenfall/jobs/ownership"
 	"github.com/lichenfall/lichenfall/jobs/routing"
 	"github.com/lichenfall/lichenfall/jobs/scheduler"
@@ -53,7 +52,7 @@
 	owned          *ownership.Table
 	leaseValid     bool                         // as checkLease last found it
 	terms          map[ownership.Term]*term     // that last, by what identifies them
-	earlierTerms   map[uint32][]durable.Term    // of others that may last, by partition of ours
+	earlierTerms   map[uint32]earlierTerms      // of others, by partition of ours
 	endedTerms     map[uint32]uint64            // by partition: epoch of the newest term that another coordinator has ended
 	members        map[string]store.Member      // registered processes, by address
 	links          map[string]*link             // to workers and other coordinators, by address
@@ -155,7 +154,7 @@
 		core:         scheduler.New(cfg.Scheduler.Core(cfg.Box.DataCentre), uint64(time.Now().UnixNano())),
 		owned:        ownership.New(cfg.Ownership.TTL.D()),
 		terms:        make(map[ownership.Term]*term),
-		earlierTerms: make(map[uint32][]durable.Term),
+		earlierTerms: make(map[uint32]earlierTerms),
 		endedTerms:   make(map[uint32]uint64),
 		members:      make(map[string]store.Member),
 		links:        make(map[string]*link),
--- a/jobs/coordinator/earlierterms.go
+++ b/jobs/coordinator/earlierterms.go
@@ -16,6 +16,12 @@
 // may not answer them, and they would send heartbeats until their leases are over. Those that can't be
 // reached are waited for by the core.
 
+// earlierTerms are terms of a partition of ours that may last.
+type earlierTerms struct {
+	terms []durable.Term
+	endBy time.Time // when they have certainly ended
+}
+
 // earlierThan returns the terms that are earlier than ours. A later owner may have fenced us between our
 // own fence and the reading; its term is not ours to end.
 func earlierThan(id ownership.Term, terms []durable.Term) []durable.Term {
@@ -31,7 +37,7 @@
 // endEarlierTerms ends the earlier terms that the store names. A term of our own address has ended: of
 // this process, since a process has one term of a partition at a time; of a process before it, since
 // that is gone.
-func (c *Coordinator) endEarlierTerms(now time.Time, id ownership.Term, terms []durable.Term) {
+func (c *Coordinator) endEarlierTerms(now time.Time, id ownership.Term, terms []durable.Term, endBy time.Time) {
 	var others []durable.Term
 	for _, t := range terms {
 		switch {
@@ -44,18 +50,23 @@
 	if len(others) == 0 {
 		return
 	}
-	c.earlierTerms[id.Partition] = others
+	c.earlierTerms[id.Partition] = earlierTerms{others, endBy}
 	for _, t := range others {
-		c.askToEnd(t.Address)
+		c.askToEnd(now, t.Address)
 	}
 }
 
 // askToEnd asks the coordinator at the address to end its terms of partitions that we own now, if it is
-// connected. Otherwise it is asked when it is.
-func (c *Coordinator) askToEnd(address string) {
+// connected. Otherwise it is asked when it is, unless they have ended by then: a program of an earlier
+// version that has taken its place would close the connection for the message.
+func (c *Coordinator) askToEnd(now time.Time, address string) {
 	m := &wire.EndTerms{}
-	for partition, terms := range c.earlierTerms {
-		for _, t := range terms {
+	for partition, e := range c.earlierTerms {
+		if now.After(e.endBy) {
+			delete(c.earlierTerms, partition)
+			continue
+		}
+		for _, t := range e.terms {
 			if t.Address == address {
 				m.Terms = append(m.Terms, wire.PartitionEpoch{Partition: partition, Epoch: t.Epoch})
 			}
@@ -84,7 +95,8 @@
 	for _, t := range m.Terms {
 		c.endedTerms[t.Partition] = max(c.endedTerms[t.Partition], t.Epoch)
 		c.core.EarlierTermEnded(now, t.Partition, t.Epoch)
-		ended := func(e durable.Term) bool { return e.Epoch == t.Epoch }
-		c.earlierTerms[t.Partition] = slices.DeleteFunc(c.earlierTerms[t.Partition], ended)
+		e := c.earlierTerms[t.Partition]
+		e.terms = slices.DeleteFunc(e.terms, func(o durable.Term) bool { return o.Epoch == t.Epoch })
+		c.earlierTerms[t.Partition] = e
 	}
 }
--- a/jobs/coordinator/earlierterms_test.go
+++ b/jobs/coordinator/earlierterms_test.go
@@ -85,7 +85,9 @@
 // askedFor asks which terms of others are to be ended.
 type askedFor struct{ answer chan<- []durable.Term }
 
-func (e askedFor) apply(c *Coordinator, _ time.Time) { e.answer <- slices.Clone(c.earlierTerms[0]) }
+func (e askedFor) apply(c *Coordinator, _ time.Time) {
+	e.answer <- slices.Clone(c.earlierTerms[0].terms)
+}
 
 // TestLaterTermIsNotEnded guards against a partition without an owner: a coordinator that a later owner has
 // fenced between its own fence and its reading took that owner's term for an earlier one, and would have had
@@ -121,3 +123,19 @@
 		}
 	}
 }
+
+// TestExpiredTermsAreNotAskedFor guards against a connection that is closed and made again for ever: the
+// program that has taken an earlier owner's place may not know the message.
+func TestExpiredTermsAreNotAskedFor(t *testing.T) {
+	c := newStallCase(t)
+	c.earlierTerms[0] = earlierTerms{[]durable.Term{{Epoch: 1, Address: "a"}}, c.now}
+	c.askToEnd(c.now, "a")
+	if len(c.earlierTerms) != 1 {
+		t.Error("terms that may last are forgotten")
+	}
+	c.advance(time.Millisecond)
+	c.askToEnd(c.now, "a")
+	if len(c.earlierTerms) != 0 {
+		t.Error("terms that have ended are still to be ended")
+	}
+}
--- a/jobs/coordinator/links.go
+++ b/jobs/coordinator/links.go
@@ -73,7 +73,7 @@
 	}
 	c.log.Info("coordinator_up", zap.String("peer", e.address))
 	c.announcedAt = time.Time{}
-	c.askToEnd(e.address)
+	c.askToEnd(now, e.address)
 }
 
 // reportRecord sends a worker its record in the store, as far as we have read it. A worker that has
--- a/jobs/coordinator/term.go
+++ b/jobs/coordinator/term.go
@@ -105,7 +105,7 @@
 	}
 	c.core.Acquire(now, &t)
 	c.core.Suspend(now, id.Partition, !c.leaseValid)
-	c.endEarlierTerms(now, id, earlier)
+	c.endEarlierTerms(now, id, earlier, t.EarlierEndBy)
 	c.log.Info("partition_owned", zap.Uint32("partition", id.Partition), zap.Uint64("epoch", id.Epoch), zap.Int("jobs", len(e.jobs)), zap.Int("earlier_terms", len(t.Earlier)))
 	c.announcedAt = time.Time{}
 }
