coordinator: join no sooner for a term that another owner ends

Asked to end its term, the coordinator joined at once, so that no round was left.

It need not: the owner that asks has the partition, and the next join, within 250 ms, shows what else has changed.

--- a/jobs/coordinator/earlierterms.go
+++ b/jobs/coordinator/earlierterms.go
@@ -78,10 +78,13 @@
 }
 
 // handleEndTerms ends terms of ours as another coordinator demands that owns their partitions now. The
-// store has not told us so yet, or could not.
+// store has not told us so yet, or could not. The next join shows what else has changed, and need not
+// come sooner for it.
 func (c *Coordinator) handleEndTerms(now time.Time, conn *peer.Conn, m *wire.EndTerms) {
 	for _, t := range m.Terms {
-		c.loseTerm(now, ownership.Term{Partition: t.Partition, Epoch: t.Epoch})
+		id := ownership.Term{Partition: t.Partition, Epoch: t.Epoch}
+		c.owned.Lost(id)
+		c.endTerm(now, id, "superseded")
 	}
 	reply := &wire.TermsEnded{Terms: m.Terms}
 	if err := conn.Send(reply); err != nil {
