--- a/jobs/scheduler/progress_test.go
+++ b/jobs/scheduler/progress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -226,3 +227,65 @@
 		t.Error("the only server of the kind is asked for nothing")
 	}
 }
+
+// TestUnmetNeeds guards against a need that nobody is connected to for: one that no connected worker can meet is
+// named at once, one whose workers are busy after stallTime, and one that is met is not.
+func TestUnmetNeeds(t *testing.T) {
+	c := newProgressCase(server{name: "a", label: "a", cores: 16}, server{name: "busy", label: "busy", cores: 16, unfree: 16})
+	c.add(false, ofKind("a", 1, 1))
+	c.add(false, ofKind("gone", 2, 1))
+	c.add(true, ofKind("", 1, 17))
+	c.add(false, ofKind("busy", 3, 1))
+	c.start()
+	names := func() []string {
+		var out []string
+		for _, n := range c.core.UnmetNeeds(c.now) {
+			out = append(out, fmt.Sprint(n.Label, " ", n.Resources.CPU))
+		}
+		slices.Sort(out)
+		return out
+	}
+	before := c.now
+	c.run(100 * time.Millisecond)
+	if got, want := names(), []string{" 17000", "gone 1000"}; !slices.Equal(got, want) {
+		t.Errorf("unmet at once: %q, want %q", got, want)
+	}
+	if !c.core.UnmetSince(before) || c.core.UnmetSince(c.now) {
+		t.Error("the time at which needs were found unmet is wrong")
+	}
+	c.run(1200 * time.Millisecond)
+	if got, want := names(), []string{" 17000", "busy 1000", "gone 1000"}; !slices.Equal(got, want) {
+		t.Errorf("unmet later: %q, want %q", got, want)
+	}
+	c.servers[1].unfree = 0
+	c.run(100 * time.Millisecond)
+	if got := names(); len(got) != 2 {
+		t.Errorf("unmet after the busy server is free: %q", got)
+	}
+}
+
+// TestOverdueTasksLeaveWaitingOnesTheirServers guards against a wide task on time that never starts, since
+// overdue tasks take each core that comes free on the only server for it.
+func TestOverdueTasksLeaveWaitingOnesTheirServers(t *testing.T) {
+	c := newProgressCase(server{name: "wide", label: "a", cores: 16, unfree: 8}, server{name: "other", label: "a", cores: 8})
+	var overdue []durable.JobID
+	for range 4 {
+		overdue = append(overdue, c.add(false, tasks(2)))
+	}
+	wide := ofKind("", 1, 16)
+	wide.EstimateMS = 100
+	onTime := c.add(false, wide)
+	c.stored[onTime].Submission.Queue.TargetMS = time.Hour.Milliseconds()
+	c.start()
+	c.now = c.now.Add(time.Minute)
+	c.run(500 * time.Millisecond)
+	for _, id := range overdue {
+		if c.ordered[id] == "wide" {
+			t.Errorf("overdue job %s is ordered at the server that the wide task waits for", id)
+		}
+	}
+	c.expectOrdered(t, overdue...)
+	c.servers[0].unfree = 0
+	c.run(100 * time.Millisecond)
+	c.expectOrdered(t, onTime)
+}
