scheduler: have two tests of progress tell what they are for

Tried against mutants, TestRareServerIsFoundAmongMany passed without the look at all workers, since samples at random found the server within its 40 rounds; it gives one round now. TestCapacityIsRequestedOfTheOnlyServer passed without leaving out what no server can run; it plays a job that is overdue behind others on time too.

--- a/jobs/scheduler/progress_test.go
+++ b/jobs/scheduler/progress_test.go
@@ -194,7 +194,7 @@
 	c := newProgressCase(servers...)
 	rare := []durable.JobID{c.add(false, ofKind("b", 1, 1)), c.add(false, ofKind("", 1, 60))}
 	c.start()
-	c.run(200 * time.Millisecond)
+	c.run(time.Millisecond) // one round
 	c.expectOrdered(t, rare...)
 }
 
@@ -202,16 +202,25 @@
 // only server of their kind goes to other coordinators, which request it: our requests listed the first
 // few needs, and no server could run those.
 func TestCapacityIsRequestedOfTheOnlyServer(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Minute} {
+		t.Run(fmt.Sprintf("for a job that is %v old", late), func(t *testing.T) { requestOfTheOnlyServer(t, late) })
+	}
+}
+
+// requestOfTheOnlyServer has the job overdue if it is old; those that no server can run are on time.
+func requestOfTheOnlyServer(t *testing.T, late time.Duration) {
 	servers := []server{{name: "rare", label: "b", cores: 16, unfree: 16}}
 	for n := range 40 {
 		servers = append(servers, server{name: fmt.Sprintf("w%d", n), label: "a", cores: 16, unfree: 16})
 	}
 	c := newProgressCase(servers...)
 	for n := range 20 {
-		c.add(true, ofKind(fmt.Sprintf("gone-%d", n), 1, 1))
+		id := c.add(true, ofKind(fmt.Sprintf("gone-%d", n), 1, 1))
+		c.stored[id].Submission.Queue.TargetMS = time.Hour.Milliseconds()
 	}
 	c.add(false, ofKind("b", 1, 1))
 	c.start()
+	c.now = c.now.Add(late)
 	asked := false
 	for range 20 {
 		for _, s := range c.servers {
