scheduler, coordinator: send orders in one place; keep no empty entries

A planned stop of another coordinator left an empty entry of earlier terms for each of its partitions, until the next coordinator connected: only entries that wait are changed now.

Nothing that is sent changes.

--- a/jobs/coordinator/earlierterms.go
+++ b/jobs/coordinator/earlierterms.go
@@ -98,8 +98,9 @@
 	for _, t := range m.Terms {
 		c.endedTerms[t.Partition] = max(c.endedTerms[t.Partition], t.Epoch)
 		c.core.EarlierTermEnded(now, t.Partition, t.Epoch)
-		e := c.earlierTerms[t.Partition]
-		e.terms = slices.DeleteFunc(e.terms, func(o durable.Term) bool { return o.Epoch == t.Epoch })
-		c.earlierTerms[t.Partition] = e
+		if e, waits := c.earlierTerms[t.Partition]; waits {
+			e.terms = slices.DeleteFunc(e.terms, func(o durable.Term) bool { return o.Epoch == t.Epoch })
+			c.earlierTerms[t.Partition] = e
+		}
 	}
 }
--- a/jobs/scheduler/dispatch.go
+++ b/jobs/scheduler/dispatch.go
@@ -39,13 +39,7 @@
 		}
 	}
 	for _, w := range ordered.KeysFunc(orders, byName) {
-		w.request.seenStamp = w.status.Stamp
-		for _, m := range orders[w].messages {
-			w.startSeq++
-			m.Seq = w.startSeq
-			m.Seen = w.request.seenStamp
-			c.send(w.name, m)
-		}
+		c.sendOrders(w, orders[w])
 	}
 	if c.cfg.Load.AskForRoom {
 		for _, service := range ordered.Keys(c.ready) {
--- a/jobs/scheduler/orders.go
+++ b/jobs/scheduler/orders.go
@@ -15,6 +15,17 @@
 	bytes    int // at most, of the last message
 }
 
+// sendOrders sends a worker the messages of the list, which acknowledge its newest status.
+func (c *Core) sendOrders(w *worker, l *orderList) {
+	w.request.seenStamp = w.status.Stamp
+	for _, m := range l.messages {
+		w.startSeq++
+		m.Seq = w.startSeq
+		m.Seen = w.request.seenStamp
+		c.send(w.name, m)
+	}
+}
+
 // add adds an order, and returns the position of its message, from 1.
 func (l *orderList) add(o wire.RunOrder) uint64 {
 	size := orderFixedBytes + len(o.Spec) + len(o.Checkpoint)
