--- a/review/harness-3/bed_test.go
+++ b/review/harness-3/bed_test.go
@@ -32,6 +32,18 @@
 	prefix    = "/jobs/"
 )
 
+// siteSettings are what sites differ in.
+type siteSettings struct {
+	holdMax   time.Duration // hold-max-ms
+	saysBorn  bool          // executors give `born`
+	startTime time.Duration // that an executor takes to answer a start
+}
+
+var (
+	smallSite = siteSettings{holdMax: time.Second}
+	fleetSite = siteSettings{holdMax: 15 * time.Second, saysBorn: true, startTime: 5 * time.Millisecond}
+)
+
 // room is what an executor has, as at the smallest site.
 var room = resources{CPU: 16000, Mem: 32768}
 
@@ -50,6 +62,7 @@
 	program   string
 	rec       *record
 	trouble   bool
+	site      siteSettings
 	dir       string
 	store     *metaStore
 	server    *http.Server
@@ -57,19 +70,20 @@
 	ready     []string
 	processes []*process // fronts first
 	executors []*executor
-	sideProxy *proxy // before the worker of the last executor
+	proxies   map[string]*proxy // before the listeners for peers, by process
 	client    *http.Client
 	closing   sync.Once
 }
 
-func newBed(program string, rec *record, trouble bool) (*bed, error) {
+func newBed(program string, rec *record, trouble bool, site siteSettings) (*bed, error) {
 	dir, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
 	b := &bed{
-		program: program, rec: rec, trouble: trouble, dir: dir, store: newMetaStore(),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		program: program, rec: rec, trouble: trouble, site: site, dir: dir, store: newMetaStore(),
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		proxies: make(map[string]*proxy),
 	}
 	if err := b.begin(); err != nil {
 		b.close()
@@ -128,19 +142,24 @@
 
 // addFront starts a coordinator with the settings that the template of the deploy file makes.
 func (b *bed) addFront(i int, store string) error {
-	addresses, err := ports.Free(4)
+	addresses, err := ports.Free(3)
 	if err != nil {
 		return err
 	}
 	b.fronts, b.ready = append(b.fronts, addresses[0]), append(b.ready, addresses[1])
-	return b.startNew(fmt.Sprintf("front-%d", i+1), "coordinator", map[string]any{
-		"box":     map[string]any{"name": fmt.Sprintf("front-%d", i+1), "data_centre": zone(i)},
+	name := frontBox(i)
+	peers, err := b.peers(name)
+	if err != nil {
+		return err
+	}
+	return b.startNew(name, "coordinator", map[string]any{
+		"box":     map[string]any{"name": name, "data_centre": zone(i)},
 		"serving": map[string]any{"listen": addresses[0], "ready": addresses[1]},
 		"admin":   map[string]any{"listen": addresses[2]},
-		"peers":   map[string]any{"listen": addresses[3]},
+		"peers":   peers,
 		"store":   map[string]any{"address": store},
 		"scheduler": map[string]any{
-			"partitions": storeParts, "store_writes": 800, "hold_lease": "1000ms", "keep_final": "120s", "load": map[string]any{"remote_factor": 1.5},
+			"partitions": storeParts, "store_writes": 800, "hold_lease": b.holdLease(), "keep_final": "120s", "load": map[string]any{"remote_factor": 1.5},
 		},
 		"copies":  map[string]any{"resend_after": "1300ms"},
 		"process": map[string]any{"memory_mib": 284, "grace": "6s"},
@@ -149,20 +168,19 @@
 
 // addExecutor starts an executor and the worker beside it.
 func (b *bed) addExecutor(i int, store string) error {
-	addresses, err := ports.Free(5)
+	addresses, err := ports.Free(3)
 	if err != nil {
 		return err
 	}
 	name, kind := fmt.Sprintf("e%d", i+1), "a"
-	peers := map[string]any{"listen": addresses[3]}
 	if i == executors-1 {
 		kind = "b"
-		peers["advertise"] = addresses[4]
-		if b.sideProxy, err = newProxy(addresses[4], addresses[3]); err != nil {
-			return err
-		}
 	}
-	e, err := newExecutor(name, addresses[0], addresses[1], []string{kind, rack(i)}, room, b.rec)
+	peers, err := b.peers("side-" + name)
+	if err != nil {
+		return err
+	}
+	e, err := newExecutor(name, addresses[0], addresses[1], []string{kind, rack(i)}, b.site, b.rec)
 	if err != nil {
 		return err
 	}
@@ -173,11 +191,29 @@
 		"peers":   peers,
 		"store":   map[string]any{"address": store},
 		"backend": map[string]any{"address": addresses[0], "listen": addresses[1]},
-		"runs":    map[string]any{"partitions": storeParts, "hold_lease": "1000ms"},
+		"runs":    map[string]any{"partitions": storeParts, "hold_lease": b.holdLease()},
 		"process": map[string]any{"memory_mib": 152, "grace": "6s"},
 	})
 }
 
+func frontBox(i int) string { return fmt.Sprintf("front-%d", i+1) }
+
+// peers returns the settings of a process's listener for the others, which reach it by a proxy.
+func (b *bed) peers(name string) (map[string]any, error) {
+	addresses, err := ports.Free(2)
+	if err != nil {
+		return nil, err
+	}
+	p, err := newProxy(addresses[1], addresses[0])
+	if err != nil {
+		return nil, err
+	}
+	b.proxies[name] = p
+	return map[string]any{"listen": addresses[0], "advertise": addresses[1]}, nil
+}
+
+func (b *bed) holdLease() string { return fmt.Sprintf("%dms", b.site.holdMax.Milliseconds()) }
+
 // startNew starts a process with the command of the deploy file.
 func (b *bed) startNew(name, role string, settings map[string]any) error {
 	text, err := json.Marshal(settings)
@@ -268,8 +304,8 @@
 		if b.server != nil {
 			_ = b.server.Close()
 		}
-		if b.sideProxy != nil {
-			b.sideProxy.close()
+		for _, p := range b.proxies {
+			p.close()
 		}
 		if keep := os.Getenv("KEEP"); keep != "" {
 			_ = os.Rename(b.dir, keep)
--- a/review/harness-3/executor_test.go
+++ b/review/harness-3/executor_test.go
@@ -16,7 +16,6 @@
 
 // Properties of executors, as the pages give them.
 const (
-	holdMax       = time.Second           // longest lease
 	stopGrace     = 50 * time.Millisecond // a stop takes
 	heartbeatGap  = 1500 * time.Millisecond
 	maxListedEnds = 500
@@ -60,23 +59,29 @@
 	labels  []string
 	room    resources
 	rec     *record
-	end     chan struct{}
-
-	mu      sync.Mutex
-	server  *http.Server // nil while it is down
-	down    bool
-	failing bool // fails all that it starts
-	life    int
-	born    time.Time
-	seq     uint64
-	token   uint64
-	lease   time.Duration // on its clock
-	running map[string]*activeRun
-	highest map[string]uint32 // by task: the highest run that ended or was stopped
-	ended   []endRow
-	lastEnd uint64
-	rows    []*runRow
-	changed chan struct{}
+	holdMax time.Duration // longest lease
+	// saysBorn says that its heartbeats and lists have the time of its start, as in the fleet.
+	saysBorn bool
+	// startTime is how long a start takes until it is answered.
+	startTime time.Duration
+	end       chan struct{}
+
+	mu       sync.Mutex
+	server   *http.Server // nil while it is down
+	down     bool
+	failing  bool // fails all that it starts
+	starting int  // starts that are not answered yet
+	life     int
+	born     time.Time
+	seq      uint64
+	token    uint64
+	lease    time.Duration // on its clock
+	running  map[string]*activeRun
+	highest  map[string]uint32 // by task: the highest run that ended or was stopped
+	ended    []endRow
+	lastEnd  uint64
+	rows     []*runRow
+	changed  chan struct{}
 }
 
 type activeRun struct {
@@ -93,9 +98,10 @@
 	how  string
 }
 
-func newExecutor(name, address, control string, labels []string, room resources, rec *record) (*executor, error) {
+func newExecutor(name, address, control string, labels []string, site siteSettings, rec *record) (*executor, error) {
 	e := &executor{
 		name: name, control: control, address: address, labels: labels, room: room, rec: rec,
+		holdMax: site.holdMax, saysBorn: site.saysBorn, startTime: site.startTime,
 		end: make(chan struct{}), changed: make(chan struct{}),
 	}
 	e.begin()
@@ -148,16 +154,7 @@
 
 // crashAs ends the incarnation; the next one has the labels.
 func (e *executor) crashAs(labels []string, down time.Duration) {
-	e.mu.Lock()
-	for _, r := range e.running {
-		r.row.Ended, r.row.How = time.Now(), "crashed"
-	}
-	e.rec.add("crash", "%s with %d runs, down for %s", e.name, len(e.running), down)
-	e.down = true
-	e.running = make(map[string]*activeRun)
-	_ = e.server.Close() // the port is dead: connections are reset and refused
-	e.server = nil
-	e.mu.Unlock()
+	e.lose()
 	time.Sleep(down)
 	e.mu.Lock()
 	e.begin()
@@ -171,6 +168,20 @@
 	e.beat()
 }
 
+// lose ends the incarnation with all its runs.
+func (e *executor) lose() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.running {
+		r.row.Ended, r.row.How = time.Now(), "crashed"
+	}
+	e.rec.add("crash", "%s with %d runs", e.name, len(e.running))
+	e.down = true
+	e.running = make(map[string]*activeRun)
+	_ = e.server.Close() // the port is dead: connections are reset and refused
+	e.server = nil
+}
+
 // setFailing makes the executor fail all that it starts, or work again.
 func (e *executor) setFailing(failing bool) {
 	e.mu.Lock()
@@ -257,6 +268,7 @@
 	switch r.URL.Path {
 	case "/v1/run-start":
 		status, answer = e.start(&c)
+		e.delayAnswer()
 	case "/v1/run-stop":
 		status, answer = e.stop(&c)
 	case "/v1/hold":
@@ -274,6 +286,27 @@
 	writeJSON(w, status, answer)
 }
 
+// delayAnswer waits until a start is answered.
+func (e *executor) delayAnswer() {
+	if e.startTime == 0 {
+		return
+	}
+	e.mu.Lock()
+	e.starting++
+	e.mu.Unlock()
+	time.Sleep(e.startTime)
+	e.mu.Lock()
+	e.starting--
+	e.mu.Unlock()
+}
+
+// isStarting returns whether a start is not answered yet.
+func (e *executor) isStarting() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.starting > 0
+}
+
 // answer returns an answer with the clock and, for a refusal, its reason. The caller holds mu.
 func (e *executor) answer(status int, reason string) (int, map[string]any) {
 	a := map[string]any{"clock-ms": e.clock().Milliseconds()}
@@ -285,7 +318,7 @@
 
 func (e *executor) extend(deadlineMS int64) {
 	deadline := time.Duration(deadlineMS) * time.Millisecond
-	e.lease = max(e.lease, min(deadline, e.clock()+holdMax))
+	e.lease = max(e.lease, min(deadline, e.clock()+e.holdMax))
 }
 
 func (e *executor) start(c *runCall) (int, map[string]any) {
@@ -394,6 +427,9 @@
 		ended = append(ended, []any{end.n, end.task, end.run, end.how, ""})
 	}
 	a["running"], a["ended"] = running, ended
+	if e.saysBorn {
+		a["born"] = e.born.UnixMilli()
+	}
 	return status, a
 }
 
@@ -413,10 +449,14 @@
 	e.mu.Lock()
 	e.seq++
 	id, down := e.id(), e.down
-	body, _ := json.Marshal(map[string]any{
+	report := map[string]any{
 		"service": service, "address": e.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
 		"cold-remaining-ms": 0, "capacity": e.room, "labels": e.labels, "clock-ms": e.clock().Milliseconds(), "seq-no": e.seq,
-	})
+	}
+	if e.saysBorn {
+		report["born"] = e.born.UnixMilli()
+	}
+	body, _ := json.Marshal(report)
 	e.mu.Unlock()
 	if down {
 		return
--- a/review/harness-3/main_test.go
+++ b/review/harness-3/main_test.go
@@ -34,6 +34,8 @@
 	"ejected":  ejectedForItsLabel,
 	"pending":  pendingAfterLoss,
 	"reborn":   rebornAsAnotherKind,
+	"partial":  partlyCutOff,
+	"transit":  lostWhileStarting,
 }
 
 // TestMain plays the case that the arguments name.
@@ -55,7 +57,11 @@
 	defer rec.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case", "%s, trouble %t", name, trouble)
-	b, err := newBed(program, rec, trouble)
+	site := smallSite
+	if name == "transit" {
+		site = fleetSite
+	}
+	b, err := newBed(program, rec, trouble, site)
 	if err != nil {
 		rec.add("unable", "%v", err)
 		return unable
--- a/review/harness-3/reborn_test.go
+++ b/review/harness-3/reborn_test.go
@@ -20,8 +20,10 @@
 		return nil, fmt.Errorf("the job that requires b does not run on the executor of that kind")
 	}
 	time.Sleep(time.Second)
+	link := b.proxies["side-"+last.name]
+	allFronts := []string{frontBox(0), frontBox(1), frontBox(2)}
 	if b.trouble {
-		b.sideProxy.setCut(true)
+		link.setCut(true, allFronts...)
 		b.rec.add("cut", "%s is cut off from the fronts", last.name)
 		go func() {
 			time.Sleep(100 * time.Millisecond)
@@ -37,7 +39,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	time.Sleep(time.Until(cutAt.Add(1200 * time.Millisecond)))
-	b.sideProxy.setCut(false)
+	link.setCut(false, allFronts...)
 	b.rec.add("cut", "%s is reached again", last.name)
 	for range jobs {
 		if err := <-answers; err != nil {
--- a/review/harness-3/suspects_test.go
+++ b/review/harness-3/suspects_test.go
@@ -11,7 +11,7 @@
 // oneSuspectAtATime: durable jobs of one small task each fill under half of the executors. One executor
 // crashes and is back soon. Its tasks have to run again; there is room for all of them at once.
 func oneSuspectAtATime(b *bed) ([]string, error) {
-	const jobs = 500
+	const jobs = 700
 	todo := work{MS: 4000, CPU: 100, Mem: 16}
 	ids := make([]string, jobs)
 	failures := make(chan error, jobs)
