--- a/review/harness-3/cancelled_test.go
+++ b/review/harness-3/cancelled_test.go
@@ -9,12 +9,12 @@
 	"time"
 )
 
-// cancelledElsewhere: a front is cut off from the other fronts for 5 s. A best-effort job that it runs is
+// cancelledElsewhere: a front is cut off from the other fronts for 8 s. A best-effort job that it runs is
 // cancelled at another front, again after each 504, until that acknowledges it. Nothing of the job may start
 // later than cancel_ms after that.
 func cancelledElsewhere(b *bed) ([]string, error) {
 	const (
-		cutFor   = 5 * time.Second
+		cutFor   = 8 * time.Second
 		cancelBy = 3 * time.Second // cancel_ms
 		inTouch  = 3 * time.Second // contact-ms
 		first    = 0               // the front that is cut off
