review: case 12, a front that is stopped as planned breaks off requests that executors work on

At the end of its planned stop a front closes its control goroutine, at which the handlers of open calls write a 504, and exits beside them. Connections end without an answer. Each front is stopped in turn, twice, while 70 clients use connections that were open before.

--- a/review/harness-3/main_test.go
+++ b/review/harness-3/main_test.go
@@ -31,6 +31,7 @@
 var scenarios = map[string]scenario{
 	"cancelled": cancelledElsewhere,
 	"crashes":   flappingServer,
+	"shutdown":  stoppedInTurn,
 	"suspects":  oneSuspectAtATime,
 	"ejected":   ejectedForItsLabel,
 	"pending":   pendingAfterLoss,
