--- a/review/harness-3/main_test.go
+++ b/review/harness-3/main_test.go
@@ -35,6 +35,7 @@
 	"suspects":  oneSuspectAtATime,
 	"ejected":   ejectedForItsLabel,
 	"pending":   pendingAfterLoss,
+	"forgotten": forgottenClaims,
 	"reborn":    rebornAsAnotherKind,
 	"partial":   partlyCutOff,
 	"transit":   lostWhileStarting,
