runtable: carry out no order of an earlier view

Cause: an order did not say on what view of the worker it was decided. The worker checks again at receipt what it has a number for, and took label, service and kind on trust.

Ruled out: the worker not knowing of the restart (it had told the coordinators, whose orders crossed its status); orders decided after the coordinator had handled that status (their Seen is below its stamp).

Change: the worker keeps for each connection the stamp of the status that told of the identity in force, and hands back orders whose Seen is below it (stale_view). No new message and no byte: coordinators have always sent Seen. Stamps of one connection rise with each status. A new incarnation without a capacity no longer inherits the service, labels and capacity of the one before; noRoomAt and coldUntil end with their incarnation.

Tests: their fixtures now send the Seen that a coordinator would have. Two checks name other figures: an order in transit has the stamp of the status before the grant in place of 1, which no status had; an order from before a smaller capacity is handed back as stale_view, and one after it as busy, which is checked besides.

--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -209,7 +209,7 @@
 // start executes an order to start a run.
 func (b *backendNode) start(c runtable.StartCall, name string) runtable.StartResult {
 	b.endDueRuns()
-	if c.Instance != b.instance(name) {
+	if c.Instance != b.instance(name) || b.w.boundStarts && c.Born != b.bornAt() {
 		return runtable.StartWrongIncarnation
 	}
 	if c.Token < b.token {
--- a/jobs/promises/client_test.go
+++ b/jobs/promises/client_test.go
@@ -226,6 +226,9 @@
 	if spec != j.submission.Spec {
 		j.w.violated("%v was started with a spec that was not submitted", ref.Task)
 	}
+	if required := j.submission.Steps[ref.Task.Step].Requires; !b.hasLabel(required) {
+		j.w.violated("%v run %d, which requires %s, starts on a server with the labels %v", ref.Task, ref.Run, required, b.labels)
+	}
 	if n := j.w.liveRuns(ref.Task); n > 0 {
 		j.w.violated("%v run %d starts while another run is executing", ref.Task, ref.Run)
 	}
--- a/jobs/promises/process_test.go
+++ b/jobs/promises/process_test.go
@@ -222,6 +222,10 @@
 	if w.chance(0.01) {
 		at = at.Add(w.between(0, 300*time.Millisecond))
 	}
+	if until := w.heldUntil[link{from, to}]; at.Before(until) {
+		w.counts["held messages"]++
+		at = until
+	}
 	if at.Before(c.last[way]) {
 		at = c.last[way]
 	}
--- a/jobs/promises/progress_test.go
+++ b/jobs/promises/progress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -120,11 +121,12 @@
 
 // canRun returns whether the server, when idle, can run a task of the step.
 func (b *backendNode) canRun(step *durable.Step) bool {
-	labelled := step.Requires == ""
-	for _, label := range b.labels {
-		labelled = labelled || label == step.Requires
-	}
-	return labelled && step.Need.Fits(b.capacity)
+	return b.hasLabel(step.Requires) && step.Need.Fits(b.capacity)
+}
+
+// hasLabel returns whether the server has the label that a step requires, if it requires one.
+func (b *backendNode) hasLabel(required string) bool {
+	return required == "" || slices.Contains(b.labels, required)
 }
 
 // turnOf returns whether the steps that the step depends on are done.
--- a/jobs/promises/worker_test.go
+++ b/jobs/promises/worker_test.go
@@ -290,6 +290,9 @@
 	e := n.table.Take(n.now())
 	for _, note := range e.Notes {
 		n.w.trace(n.fullName(), note.Ref.Task.String(), "%s run %d %s", note.What, note.Ref.Run, note.Reason)
+		if note.What == runtable.RunRefused && note.Reason == "stale_view" {
+			n.w.counts["orders of an earlier view"]++
+		}
 		switch note.What {
 		case runtable.GrantMade:
 			n.w.counts["grants"]++
--- a/jobs/promises/world_test.go
+++ b/jobs/promises/world_test.go
@@ -30,7 +30,8 @@
 	coordinators []*coordinatorNode
 	workers      []*workerNode
 	clients      map[durable.JobID]*clientJob
-	cut          map[link]bool // directions in which no message passes
+	cut          map[link]bool      // directions in which no message passes
+	heldUntil    map[link]time.Time // directions in which messages arrive after this time, in their order
 
 	cfg   *config.Scheduler
 	runs  *config.Runs
@@ -47,6 +48,9 @@
 	silentCrashes bool
 	// reusesID has backend servers restart under the same instance ID.
 	reusesID bool
+	// boundStarts has orders to start reach no other incarnation of a backend server than the one that
+	// they name, also where servers reuse their IDs, as package platform sees to.
+	boundStarts bool
 	// lateLinks has what a coordinator sent into a cut arrive after the cut has ended, although the
 	// coordinator has closed that connection and opened another.
 	lateLinks bool
@@ -131,6 +135,7 @@
 		refused:    make(map[string]bool),
 		clients:    make(map[durable.JobID]*clientJob),
 		cut:        make(map[link]bool),
+		heldUntil:  make(map[link]time.Time),
 		cfg:        &scheduler,
 		runs:       &runs,
 		dedup:      config.DefaultDedup(),
--- a/jobs/runtable/bench_test.go
+++ b/jobs/runtable/bench_test.go
@@ -9,6 +9,9 @@
 	"github.com/lichenfall/lichenfall/wire"
 )
 
+// seenAll is a stamp above those of all statuses.
+const seenAll = 1 << 40
+
 // benchTable returns a table that takes orders.
 func benchTable(now time.Time) *runtable.Table {
 	cfg := config.DefaultRuns()
@@ -32,7 +35,7 @@
 	for n := uint64(1); b.Loop(); n++ {
 		ref := wire.RunRef{Run: wire.BestEffortRun + uint32(n)}
 		ref.Task.Job = job
-		t.Start(now, owner, &wire.StartRuns{Seq: n, Runs: []wire.RunOrder{{Ref: ref, BestEffort: true}}})
+		t.Start(now, owner, &wire.StartRuns{Seq: n, Seen: seenAll, Runs: []wire.RunOrder{{Ref: ref, BestEffort: true}}})
 		for _, c := range t.Take(now).Starts {
 			t.StartAnswered(now, c, runtable.StartAccepted)
 		}
--- a/jobs/runtable/capacity_test.go
+++ b/jobs/runtable/capacity_test.go
@@ -155,10 +155,11 @@
 
 	It("takes an order that was in transit out of the share of its sender", func() {
 		n := newSharedWorker()
+		beforeGrant := n.lastStatus["c"]
 		n.request("c", 1, 0)
 		n.request("b", 1, 10)
 		n.perform()
-		n.lastStatus["c"] = &wire.WorkerStatus{Stamp: 1} // the grant has not reached c
+		n.lastStatus["c"] = beforeGrant // the grant has not reached c
 		n.orderRun("c")
 		n.perform()
 		n.orderRun("b")
@@ -284,6 +285,9 @@
 		n.table.Identify(n.now, small)
 		n.orderRun("c")
 		n.perform()
+		Expect(n.ends[0].Reason).To(Equal("stale_view"))
+		n.orderRun("c")
+		n.perform()
 		Expect(n.ends[0].Reason).To(Equal("busy"))
 		Expect(n.lastStatus["c"].Free.CPU).To(Equal(int64(500)))
 	})
--- a/jobs/runtable/coowners_test.go
+++ b/jobs/runtable/coowners_test.go
@@ -25,7 +25,7 @@
 	f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
 	f.table.OwnerUp(f.now, other, "c1/1")
 	f.sendHeartbeat(other)
-	f.table.Start(f.now, other, &wire.StartRuns{Seq: 1, Runs: []wire.RunOrder{{Ref: bestEffortRef, BestEffort: true, Need: durable.Resources{CPU: 1500}}}})
+	f.start(other, &wire.StartRuns{Seq: 1, Runs: []wire.RunOrder{{Ref: bestEffortRef, BestEffort: true, Need: durable.Resources{CPU: 1500}}}})
 	e := f.take()
 	Expect(e.Starts).To(BeEmpty(), "it is the same run")
 	Expect(ends(e)).To(BeEmpty())
--- a/jobs/runtable/crash_test.go
+++ b/jobs/runtable/crash_test.go
@@ -18,7 +18,7 @@
 	for i, n := range crashes {
 		m.Runs = append(m.Runs, wire.RunOrder{Ref: ref(uint32(i), 1), Epoch: 7, Need: durable.Resources{CPU: 500}, Crashes: n})
 	}
-	f.table.Start(f.now, owner, m)
+	f.start(owner, m)
 	for i, c := range f.take().Starts {
 		if i < answered {
 			f.table.StartAnswered(f.now, c, runtable.StartAccepted)
--- a/jobs/runtable/decisions.go
+++ b/jobs/runtable/decisions.go
@@ -39,6 +39,7 @@
 	reasonStopping        = "sealing"            // the stop is on its way
 	reasonBusy            = "busy"               // it does not fit
 	reasonGranted         = "granted"            // the capacity is granted to others
+	reasonStaleView       = "stale_view"         // decided before the coordinator knew of the identity in force
 	reasonSilent          = "backend_silent"     // the backend server does not answer
 	reasonNoAnswer        = "no_answer"          // one call had no answer
 	reasonRefused         = "connection_refused" // nothing listens at the address any more
--- a/jobs/runtable/identity.go
+++ b/jobs/runtable/identity.go
@@ -55,7 +55,7 @@
 
 // Identify sets the incarnation in force, as the backend server's own answer shows. A new
 // incarnation ends everything of the previous one, which never returns. Without a capacity, the
-// known service, capacity and labels stay.
+// service, capacity and labels that are known of the same incarnation stay.
 func (t *Table) Identify(now time.Time, id Identity) {
 	if id.Incarnation() != t.identity.Incarnation() {
 		t.supersede(t.identity.Incarnation())
@@ -66,7 +66,7 @@
 		t.reportSilentCrashes(now)
 	}
 	before, known := t.identity, t.hasIdentity
-	if id.Capacity == (durable.Resources{}) {
+	if id.Capacity == (durable.Resources{}) && id.Incarnation() == before.Incarnation() {
 		id.Capacity = t.identity.Capacity
 		id.Service = t.identity.Service
 		id.Labels = t.identity.Labels
@@ -80,7 +80,7 @@
 		clear(t.silentRuns) // the incarnation that was given up has not crashed
 	}
 	for _, o := range t.owners {
-		o.identitySent = false
+		o.identityStamp = 0
 	}
 	t.queueStatuses()
 	t.effects.Renew = true
@@ -111,6 +111,7 @@
 	t.silent, t.refusedAt = false, time.Time{}
 	t.synced, t.complete = false, false
 	t.lapsing = false
+	t.noRoomAt, t.coldUntil = time.Time{}, time.Time{}
 	t.hasIdentity = false
 	t.identity.Ready = false
 	t.queueStatuses()
--- a/jobs/runtable/owners.go
+++ b/jobs/runtable/owners.go
@@ -16,11 +16,18 @@
 	queries      []wire.RunRef // the runs that the query names
 	heartbeatSeq uint64        // of the newest heartbeat
 	startSeq     uint64        // of the newest StartRuns
+	seen         int64         // Stamp of the newest status that it had handled when it sent that StartRuns
+	stamp        int64         // of the newest status that it was sent
 	fenced       []uint32      // partitions that it claimed and that another coordinator owns
 	dirty        bool          // a status is due
-	identitySent bool          // has been sent the identity in force
+	// identityStamp is the Stamp of the status in which it was sent the identity in force; 0 before that.
+	identityStamp int64
 }
 
+// knowsIdentity returns whether the coordinator had handled the identity in force when it decided on its
+// newest orders.
+func (o *owner) knowsIdentity() bool { return o.identityStamp != 0 && o.seen >= o.identityStamp }
+
 // OwnerUp adds a connection of a coordinator. conn names the connection and must be unique to it;
 // member is the ID of the coordinator's process.
 func (t *Table) OwnerUp(_ time.Time, conn, member string) {
--- a/jobs/runtable/retired_test.go
+++ b/jobs/runtable/retired_test.go
@@ -49,13 +49,13 @@
 	It("does not prevent orders on the newer connection", func() {
 		f := replaced()
 		f.heartbeatEchoing(7, 1)
-		f.table.Start(f.now, newer, &wire.StartRuns{Seq: 1, Runs: []wire.RunOrder{{Ref: ref(0, wire.BestEffortRun+1), BestEffort: true}}})
+		f.start(newer, &wire.StartRuns{Seq: 1, Runs: []wire.RunOrder{{Ref: ref(0, wire.BestEffortRun+1), BestEffort: true}}})
 		Expect(f.take().Starts).To(HaveLen(1))
 	})
 
 	It("neither queries nor stops runs", func() {
 		f := replaced()
-		f.table.Start(f.now, newer, &wire.StartRuns{Seq: 1, Runs: []wire.RunOrder{{Ref: ref(0, wire.BestEffortRun+1), BestEffort: true}}})
+		f.start(newer, &wire.StartRuns{Seq: 1, Runs: []wire.RunOrder{{Ref: ref(0, wire.BestEffortRun+1), BestEffort: true}}})
 		f.table.StartAnswered(f.now, f.take().Starts[0], runtable.StartAccepted)
 		f.table.QueryRuns(f.now, owner, &wire.RunsQuery{})
 		f.table.Stop(f.now, owner, &wire.StopRuns{Runs: []wire.RunRef{ref(0, wire.BestEffortRun+1)}})
--- a/jobs/runtable/runtable_test.go
+++ b/jobs/runtable/runtable_test.go
@@ -35,10 +35,13 @@
 	seq      uint64
 	limit    int64 // LimitMS of orders
 	estimate int64 // EstimateMS of orders
+	// seen has the stamp of the newest status that was sent on each connection. The coordinators have
+	// handled it when they order.
+	seen map[string]int64
 }
 
 func newFixture() *fixture {
-	f := &fixture{now: time.Unix(1000, 0), cfg: config.DefaultRuns()}
+	f := &fixture{now: time.Unix(1000, 0), cfg: config.DefaultRuns(), seen: make(map[string]int64)}
 	f.table = runtable.New(f.cfg.Core("dc"), f.now)
 	return f
 }
@@ -46,9 +49,20 @@
 func (f *fixture) take() runtable.Effects {
 	e := f.table.Take(f.now)
 	f.out = e
+	for _, s := range e.Sends {
+		if m, ok := s.Message.(*wire.WorkerStatus); ok {
+			f.seen[s.Owner] = m.Stamp
+		}
+	}
 	return e
 }
 
+// start has a coordinator that has handled all statuses send orders.
+func (f *fixture) start(conn string, m *wire.StartRuns) {
+	m.Seen = f.seen[conn]
+	f.table.Start(f.now, conn, m)
+}
+
 func (f *fixture) advance(d time.Duration) {
 	f.now = f.now.Add(d)
 	f.table.Tick(f.now)
@@ -118,7 +132,7 @@
 		}
 		m.Runs = append(m.Runs, wire.RunOrder{Ref: r, Epoch: epoch, BestEffort: r.BestEffort(), Need: durable.Resources{CPU: 1500}, LimitMS: f.limit, EstimateMS: f.estimate})
 	}
-	f.table.Start(f.now, owner, m)
+	f.start(owner, m)
 }
 
 // ends returns the ends that are sent to owners.
--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -17,7 +17,7 @@
 	if o == nil {
 		return
 	}
-	o.startSeq = m.Seq
+	o.startSeq, o.seen = m.Seq, m.Seen
 	t.queueStatus(conn, o)
 	t.shareCapacity(now) // capacity that has just come free is not taken by whichever order arrives first
 	t.room.OrderReceived(now, conn, m.Seen)
@@ -49,8 +49,9 @@
 	return true
 }
 
-// refusal returns the reason for handing an order back, or "" if it is taken. An order must fit
-// now. Tasks under which backend servers have crashed run one at a time here, so that the next
+// refusal returns the reason for handing an order back, or "" if it is taken. An order holds only for
+// the identity on which it was decided: the coordinator chose this backend server by its service, labels
+// and capacity, and reckoned the limit by its speed. It must fit now. Tasks under which backend servers have crashed run one at a time here, so that the next
 // crash shows which of them caused it. With two together neither would be blamed, and each would
 // crash one more server. If all coordinators have lost their crash histories before, that is one
 // crash too many.
@@ -62,6 +63,8 @@
 		return "evacuated"
 	case !t.canStart():
 		return "not_ready"
+	case !t.owners[conn].knowsIdentity():
+		return reasonStaleView
 	case order.Crashes > 0 && t.suspects() > 0:
 		return "suspect_there"
 	case !order.Need.Fits(t.free()), now.Sub(t.noRoomAt) < noRoomPause:
--- a/jobs/runtable/status.go
+++ b/jobs/runtable/status.go
@@ -8,7 +8,7 @@
 )
 
 // stamp returns the time since this process started, in microseconds on its monotonic clock;
-// never 0. Coordinators echo it in heartbeats.
+// never 0. Coordinators echo it in heartbeats and orders.
 func (t *Table) stamp(now time.Time) int64 {
 	return max(1, now.Sub(t.began).Microseconds())
 }
@@ -48,12 +48,15 @@
 	t.dirty = t.dirty[:0]
 }
 
+// status returns the status for the coordinator. Its stamp is above those of all earlier ones, so that
+// an order tells by it which of them the coordinator had handled.
 func (t *Table) status(now time.Time, conn string, o *owner, slowness uint32) *wire.WorkerStatus {
+	o.stamp = max(t.stamp(now), o.stamp+1)
 	s := &wire.WorkerStatus{
 		TimeFactor:   percent(t.outcomes.speed.TimeFactor()),
 		Slowness:     slowness,
 		Failing:      percent(t.outcomes.failing),
-		Stamp:        t.stamp(now),
+		Stamp:        o.stamp,
 		HeartbeatSeq: o.heartbeatSeq,
 		StartSeq:     o.startSeq,
 		Ready:        t.canStart(),
@@ -62,8 +65,8 @@
 		Fenced:       o.fenced,
 	}
 	o.fenced = nil
-	if !o.identitySent {
-		o.identitySent = true
+	if o.identityStamp == 0 {
+		o.identityStamp = o.stamp
 		s.Identity = t.identity.message()
 	}
 	return s
--- a/jobs/runtable/unasked_test.go
+++ b/jobs/runtable/unasked_test.go
@@ -68,7 +68,7 @@
 		p.renewLease()
 	default:
 		r := ref(uint32(i), wire.BestEffortRun+uint32(p.seq))
-		p.table.Start(p.now, owner, &wire.StartRuns{Seq: p.seq, Runs: []wire.RunOrder{{Ref: r, BestEffort: true, Need: durable.Resources{CPU: 1500}}}})
+		p.table.Start(p.now, owner, &wire.StartRuns{Seq: p.seq, Seen: p.stamps[owner], Runs: []wire.RunOrder{{Ref: r, BestEffort: true, Need: durable.Resources{CPU: 1500}}}})
 	}
 	p.table.Tick(p.now)
 }
