platform: bind starts to one incarnation of a backend server that keeps its ID

Callers would see tasks on a backend server of another kind than they require, or beyond its capacity, where servers restart under their ID: the worker is frozen, stalled or suspended meanwhile, wakes with orders in its queue, finds its connections gone, connects anew, and the next incarnation carries them out.

Cause: the call names an ID, which is the same in the next incarnation. Ruled out as a guard: the fencing token (a new incarnation has seen none) and the deadline (its clock starts anew); looking first leaves the time between.

--- a/jobs/promises/earlierview_test.go
+++ b/jobs/promises/earlierview_test.go
@@ -79,7 +79,7 @@
 	cases := envNumber("LICHENFALL_CASES", earlierViewCases)
 	seed := envNumber("LICHENFALL_SEED", defaultSeed)
 	for _, delay := range delays {
-		for _, reusesID := range []bool{false} {
+		for _, reusesID := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, IDs reused %t", delay.name, reusesID), func(t *testing.T) {
 				t.Parallel()
 				failed, counts := 0, make(map[string]int)
@@ -103,7 +103,7 @@
 // earlierViewWorld returns a world with servers of two kinds, which start whatever they are ordered to.
 func earlierViewWorld(seed uint64, reusesID bool) *world {
 	return newWorldWith(seed, func(w *world) {
-		w.reusesID = reusesID
+		w.reusesID, w.boundStarts = reusesID, true
 		w.unguarded, w.lateLinks, w.shuffleInbox = true, true, true
 		w.noResends = true
 		for i := range constantServers {
