--- a/submissions/dispatch/submit.go
+++ b/submissions/dispatch/submit.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/lichenfall/lichenfall/lib/failure"
 	"github.com/lichenfall/lichenfall/submissions/job"
+	"github.com/lichenfall/lichenfall/submissions/placement"
 )
 
 // Submit handles a submission from a caller. A resent call gets the answer of
@@ -103,7 +105,13 @@
 	if wait <= c.cfg.MaxWait && now.Add(wait+p.MeanRun).Before(s.Deadline) && !p.Full(n) {
 		return nil
 	}
-	return c.overloaded("the pool is too busy for the job to be done in time", c.jitter(wait-c.cfg.MaxWait/2))
+	return c.overloaded(tooBusy(p, wait, s.Deadline.Sub(now)), c.jitter(wait-c.cfg.MaxWait/2))
+}
+
+// tooBusy returns the reason of a refusal, with the figures that decided it.
+func tooBusy(p placement.PoolState, wait, left time.Duration) string {
+	const format = "the pool is too busy for the job to be done in time: %d tasks at %d slots, %d ms each, so %d ms to wait, of %d ms left"
+	return fmt.Sprintf(format, p.Held, p.Slots, p.MeanRun.Milliseconds(), wait.Milliseconds(), left.Milliseconds())
 }
 
 func (c *Core) overloaded(reason string, after time.Duration) *failure.Error {
