--- a/jobs/promises/backend_test.go
+++ b/jobs/promises/backend_test.go
@@ -156,6 +156,17 @@
 	return n
 }
 
+// runsOfStep returns how many other tasks of the task's step are executing here.
+func (b *backendNode) runsOfStep(task durable.TaskID) uint32 {
+	n := uint32(0)
+	for ref := range b.running {
+		if ref.Task.Job == task.Job && ref.Task.Step == task.Step && ref.Task.Index != task.Index {
+			n++
+		}
+	}
+	return n
+}
+
 // refs returns the executing runs, ordered by task and run number.
 func (b *backendNode) refs() []wire.RunRef {
 	return ordered.KeysFunc(b.running, func(x, y wire.RunRef) int {
--- a/jobs/promises/client_test.go
+++ b/jobs/promises/client_test.go
@@ -229,6 +229,9 @@
 	if required := j.submission.Steps[ref.Task.Step].Requires; !b.hasLabel(required) {
 		j.w.violated("%v run %d, which requires %s, starts on a server with the labels %v", ref.Task, ref.Run, required, b.labels)
 	}
+	if most := j.submission.Steps[ref.Task.Step].AntiAffinity; most > 0 && b.runsOfStep(ref.Task) >= most {
+		j.w.violated("%v run %d starts beside %d tasks of its step", ref.Task, ref.Run, most)
+	}
 	if n := j.w.liveRuns(ref.Task); n > 0 {
 		j.w.violated("%v run %d starts while another run is executing", ref.Task, ref.Run)
 	}
--- a/jobs/promises/earlierview_test.go
+++ b/jobs/promises/earlierview_test.go
@@ -71,9 +71,9 @@
 }
 
 // TestOrdersOfAnEarlierView guards against tasks that start on a backend server of another kind than they
-// require, or beyond its capacity: the order was decided before the coordinator knew of the server's
-// present incarnation. Each way of delay, with durable and best-effort jobs, and with servers that get
-// another instance ID and such that keep theirs.
+// require, beyond its capacity, or beside too many of their step: the order was decided before the
+// coordinator knew of the server's present incarnation. Each way of delay, with durable and best-effort
+// jobs, and with servers that get another instance ID and such that keep theirs.
 func TestOrdersOfAnEarlierView(t *testing.T) {
 	t.Parallel()
 	cases := envNumber("LICHENFALL_CASES", earlierViewCases)
@@ -149,10 +149,15 @@
 	w.awaitFinal()
 }
 
-// sendRequiringJob sends a job that requires one of the kinds, or none.
+// sendRequiringJob sends a job that requires one of the kinds, or none, and may limit how many of its tasks
+// one server runs at once.
 func (w *world) sendRequiringJob() {
 	j := newClientJob(w, len(w.clients), w.chance(0.5))
-	j.submission.Steps[0].Requires = []string{"", commonKind, rareKind}[w.random.IntN(3)]
+	first := &j.submission.Steps[0]
+	first.Requires = []string{"", commonKind, rareKind}[w.random.IntN(3)]
+	if w.chance(0.3) {
+		first.AntiAffinity = 1 + uint32(w.random.IntN(2))
+	}
 	j.send()
 }
 
