--- a/jobs/runtable/starts.go
+++ b/jobs/runtable/starts.go
@@ -51,10 +51,10 @@
 
 // refusal returns the reason for handing an order back, or "" if it is taken. An order holds only for
 // the identity on which it was decided: the coordinator chose this backend server by its service, labels
-// and capacity, and reckoned the limit by its speed. It must fit now. Tasks under which backend servers have crashed run one at a time here, so that the next
-// crash shows which of them caused it. With two together neither would be blamed, and each would
-// crash one more server. If all coordinators have lost their crash histories before, that is one
-// crash too many.
+// and capacity, and reckoned the limit by its speed. It must fit now. Tasks under which backend servers
+// have crashed run one at a time here, so that the next crash shows which of them caused it. With two
+// together neither would be blamed, and each would crash one more server. If all coordinators have lost
+// their crash histories before, that is one crash too many.
 func (t *Table) refusal(now time.Time, conn string, order *wire.RunOrder, key leaseKey) string {
 	switch {
 	case !t.mayOrder(now, conn, order, key):
